--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,15 +38,18 @@
 	// Version is the number of patches accepted so far. Default 0: empty.
 	Version uint64 `json:"version" toml:"-"`
 	// Seats is the number of capacity shares among entry VMs. Default 9.
-	Seats     int                 `json:"seats" toml:"seats"`
-	Zones     map[string]Zone     `json:"zones" toml:"zone"`
-	Links     map[string]Link     `json:"links" toml:"link"`
-	Contracts map[string]Contract `json:"contracts" toml:"contract"`
-	Accounts  map[string]Account  `json:"accounts" toml:"account"`
-	Services  map[string]Service  `json:"services" toml:"service"`
-	Targets   map[string]Target   `json:"targets" toml:"target"`
-	Routes    map[string]Route    `json:"routes" toml:"route"`
-	WaitRules map[string]WaitRule `json:"wait_rules" toml:"wait-rule"`
+	Seats int `json:"seats" toml:"seats"`
+	// SharesPerTarget is the number of seats that share one target. Default:
+	// the smaller of Seats and 16.
+	SharesPerTarget int                 `json:"shares_per_target" toml:"shares-per-target"`
+	Zones           map[string]Zone     `json:"zones" toml:"zone"`
+	Links           map[string]Link     `json:"links" toml:"link"`
+	Contracts       map[string]Contract `json:"contracts" toml:"contract"`
+	Accounts        map[string]Account  `json:"accounts" toml:"account"`
+	Services        map[string]Service  `json:"services" toml:"service"`
+	Targets         map[string]Target   `json:"targets" toml:"target"`
+	Routes          map[string]Route    `json:"routes" toml:"route"`
+	WaitRules       map[string]WaitRule `json:"wait_rules" toml:"wait-rule"`
 }
 
 // Zone is a data centre.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -18,6 +18,9 @@
 	DefaultMaxDeadline = Duration(10 * time.Minute)
 	DefaultWeight      = 1.0
 	DefaultColdRunning = 1
+
+	// DefaultMaxSharesPerTarget bounds the default of SharesPerTarget.
+	DefaultMaxSharesPerTarget = 16
 )
 
 const keyHashBytes = 32 // SHA-256
@@ -69,6 +72,9 @@
 	if c.Seats == 0 {
 		c.Seats = DefaultSeats
 	}
+	if c.SharesPerTarget == 0 {
+		c.SharesPerTarget = min(c.Seats, DefaultMaxSharesPerTarget)
+	}
 	for name, k := range c.Contracts {
 		if k.Deadline == 0 {
 			k.Deadline = DefaultDeadline
@@ -112,6 +118,7 @@
 func (c *Config) Validate() Problems {
 	v := &validator{}
 	v.require(c.Seats > 0, "seats", fmt.Sprint(c.Seats), "a number above 0")
+	v.require(c.SharesPerTarget > 0 && c.SharesPerTarget <= c.Seats, "shares-per-target", fmt.Sprint(c.SharesPerTarget), "1 to seats")
 	c.validateLinks(v)
 	c.validateAccounts(v)
 	c.validateServices(v)
