Test the gateway with a published client, engine deaths and hostile input

A slow reader did not pause its engine, because the kernel's send buffers grow to megabytes; both sides now ask for 16 KiB. A body that stalled kept its connection, because the read deadline was lifted before the response. An attempt whose caller left was cancelled at once although the caller had asked to resume it, because a cancelled context was not taken for a caller that left. An attempt whose start was never answered is cancelled a second time after 2 s: a frozen engine ran it after the first cancellation was confirmed.

--- a/cmd/oriolestandin/main.go
+++ b/cmd/oriolestandin/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -19,6 +18,7 @@
 	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/logging"
 	"github.com/oriolefront/oriolefront/internal/standin"
+	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
 const usageText = `oriolestandin runs stand-ins for engines and platform services.
@@ -93,7 +93,7 @@
 	}
 	for _, t := range w.Engines {
 		e := standin.NewEngine(t.options())
-		listener, err := net.Listen("tcp", t.Listen)
+		listener, err := tcp.Listen(ctx, t.Listen)
 		if err != nil {
 			return fmt.Errorf("engine %s: %w", t.Name, err)
 		}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -7,18 +7,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/oriolefront/oriolefront/internal/sse"
+	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
 // Header names of the engine protocol.
@@ -30,19 +29,14 @@
 )
 
 const (
-	dialTimeout = 2 * time.Second
-	// socketReadBuffer bounds what the kernel holds for a stream that is not
-	// read, so that back pressure reaches the engine early.
-	socketReadBuffer  = 16 << 10
 	maxErrorBodyBytes = 4 << 10
 	endMark           = "[DONE]"
 )
 
 // NewTransport returns the HTTP transport that all engine clients share.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitReadBuffer}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         tcp.Dialer().DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
@@ -50,14 +44,6 @@
 	}
 }
 
-func limitReadBuffer(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketReadBuffer)
-	})
-	return errors.Join(err, sockErr)
-}
-
 // HTTPClient is the Client for engines that speak the completion API over
 // HTTP with server-sent events.
 type HTTPClient struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,11 +7,9 @@
 	"encoding/hex"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,12 +21,9 @@
 	"github.com/oriolefront/oriolefront/internal/gateway"
 	"github.com/oriolefront/oriolefront/internal/resume"
 	"github.com/oriolefront/oriolefront/internal/settings"
+	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
-// socketWriteBuffer bounds what the kernel holds for a caller that reads
-// slowly.
-const socketWriteBuffer = 16 << 10
-
 // Process is one entry process.
 type Process struct {
 	settings *settings.Settings
@@ -108,8 +103,7 @@
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (p *Process) Run(ctx context.Context) error {
-	listenConfig := net.ListenConfig{Control: limitWriteBuffer}
-	listener, err := listenConfig.Listen(ctx, "tcp", p.settings.Listen.Callers)
+	listener, err := tcp.Listen(ctx, p.settings.Listen.Callers)
 	if err != nil {
 		return merry.Prepend(err, "listen.callers")
 	}
@@ -142,19 +136,6 @@
 	return nil
 }
 
-// limitWriteBuffer sets the send buffer of accepted connections, which
-// inherit it from the listener.
-func limitWriteBuffer(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketWriteBuffer)
-	})
-	if err != nil {
-		return err
-	}
-	return sockErr
-}
-
 // clients keeps one engine client for each address.
 type clients struct {
 	transport *http.Transport
--- /dev/null
+++ b/internal/faultproxy/faultproxy.go
@@ -0,0 +1,188 @@
+// Package faultproxy is a small TCP proxy that injects network faults in
+// tests and experiments.
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what the proxy does with bytes.
+type Mode int
+
+// The modes.
+const (
+	// Pass forwards both directions.
+	Pass Mode = iota
+	// Cut closes all connections and refuses new ones at once.
+	Cut
+	// Hold keeps connections open and forwards nothing until the mode changes.
+	Hold
+	// LoseAnswers forwards what clients send and discards what comes back.
+	LoseAnswers
+)
+
+// Proxy forwards connections to one address.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	mode    Mode
+	delay   time.Duration
+	conns   map[net.Conn]struct{}
+	closed  bool
+}
+
+// Start returns a running proxy that listens on a free loopback port.
+func Start(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	p.changed = sync.NewCond(&p.mu)
+	go p.accept()
+	return p, nil
+}
+
+// Address returns the address that clients connect to.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode and the delay added to each chunk of bytes.
+func (p *Proxy) Set(mode Mode, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	p.delay = delay
+	if mode == Cut {
+		p.dropLocked()
+	}
+	p.changed.Broadcast()
+}
+
+// Close stops the proxy and its connections.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.dropLocked()
+	p.changed.Broadcast()
+	p.mu.Unlock()
+	return p.listener.Close()
+}
+
+func (p *Proxy) dropLocked() {
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0) // a reset, as from a host that is gone
+		}
+		c.Close()
+		delete(p.conns, c)
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(client)
+	}
+}
+
+// track registers a connection, and reports false when it must be closed.
+func (p *Proxy) track(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.mode == Cut {
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) untrack(c net.Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *Proxy) serve(client net.Conn) {
+	if !p.track(client) {
+		client.Close()
+		return
+	}
+	defer p.untrack(client)
+	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	if !p.track(server) {
+		server.Close()
+		return
+	}
+	defer p.untrack(server)
+	done := make(chan struct{}, 2)
+	go func() {
+		p.copy(server, client, false)
+		done <- struct{}{}
+	}()
+	go func() {
+		p.copy(client, server, true)
+		done <- struct{}{}
+	}()
+	<-done
+}
+
+const copyBuffer = 32 << 10
+
+func (p *Proxy) copy(dst, src net.Conn, answers bool) {
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := src.Read(buffer)
+		forward, ok := p.await(answers)
+		if !ok {
+			return
+		}
+		if n > 0 && forward {
+			if _, writeErr := dst.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if tcp, isTCP := dst.(*net.TCPConn); isTCP && forward {
+				tcp.CloseWrite()
+			}
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// await applies the delay and waits while the mode is Hold. It reports whether
+// the bytes go on and whether the connection lives.
+func (p *Proxy) await(answers bool) (forward, ok bool) {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.mode == Hold && !p.closed {
+		p.changed.Wait()
+	}
+	if p.closed || p.mode == Cut {
+		return false, false
+	}
+	return p.mode != LoseAnswers || !answers, true
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -30,6 +30,10 @@
 	// cancelGiveUp bounds the confirmation of a cancellation. The sweep of the
 	// engine's list of attempts finds what is left after it.
 	cancelGiveUp = 30 * time.Second
+	// lateStartWait is how long after a confirmed cancellation an attempt whose
+	// start was never answered is cancelled once more. Its request may still
+	// have been on the way, or in the buffers of a frozen engine.
+	lateStartWait = 2 * time.Second
 )
 
 var (
@@ -177,7 +181,7 @@
 	}
 	d.work.Exclude = append(d.work.Exclude, grant.Target)
 	run.report.Failed = ctx.Err() == nil && !errors.Is(err, errCallerGone) && !errors.Is(err, engine.ErrRejected)
-	d.g.abandon(run, d.c, errors.Is(err, errCallerGone))
+	d.g.abandon(run, d.c, callerGone(ctx, err))
 	if errors.Is(err, engine.ErrRejected) {
 		return apierror.New(apierror.KindInvalidRequest, apierror.NotRun,
 			"the engine rejected the request", "correct the request").WithCause(err)
@@ -185,6 +189,12 @@
 	return err
 }
 
+// callerGone says whether an attempt failed because its caller went away,
+// which shows either in a failed write or in the request's context.
+func callerGone(ctx context.Context, err error) bool {
+	return errors.Is(err, errCallerGone) || errors.Is(context.Cause(ctx), context.Canceled)
+}
+
 func (d *dispatch) prepare(grant *admission.Grant) (*attemptRun, error) {
 	prefix, err := d.g.Identity.AttemptPrefix()
 	if err != nil {
@@ -335,7 +345,7 @@
 
 // abandon gives an unfinished attempt's memory back: it cancels the attempt at
 // the engine and releases the reservation once the engine has confirmed it.
-func (g *Gateway) abandon(run *attemptRun, c *call, callerGone bool) {
+func (g *Gateway) abandon(run *attemptRun, c *call, mayResume bool) {
 	if run.sentAt.IsZero() {
 		run.grant.Done(run.report)
 		return
@@ -345,10 +355,14 @@
 		defer g.cleanup.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), cancelGiveUp)
 		defer cancel()
-		if callerGone && c.resumable {
+		if mayResume && c.resumable {
 			g.awaitResume(ctx, run, c)
 		}
 		g.confirmCancel(ctx, run)
+		if run.stream == nil {
+			time.Sleep(lateStartWait)
+			g.confirmCancel(ctx, run)
+		}
 		run.finish()
 	}()
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -203,7 +203,6 @@
 		return nil, errBodyTooLarge(limit)
 	}
 	control := http.NewResponseController(w)
-	defer control.SetReadDeadline(time.Time{})
 	const firstChunk = 16 << 10
 	size := int64(firstChunk)
 	if r.ContentLength > 0 {
@@ -215,8 +214,11 @@
 	if !g.held.take(int64(cap(buffer))) {
 		return nil, errMemoryFull
 	}
+	// After a failure the read deadline stays, so that the server does not wait
+	// for the rest of the body before it sends the response.
 	fail := func(err error) ([]byte, error) {
 		g.held.give(int64(cap(buffer)))
+		w.Header().Set("Connection", "close")
 		return nil, err
 	}
 	for {
@@ -237,6 +239,7 @@
 			return fail(errBodyTooLarge(limit))
 		}
 		if errors.Is(err, io.EOF) {
+			control.SetReadDeadline(time.Time{})
 			return buffer, nil
 		}
 		if err != nil {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -100,7 +100,7 @@
 	if err == nil {
 		return nil
 	}
-	g.abandon(run, c, errors.Is(err, errCallerGone))
+	g.abandon(run, c, callerGone(ctx, err))
 	if ctx.Err() != nil {
 		d.attempt = 1
 		return d.contextError(ctx)
--- /dev/null
+++ b/internal/gateway/resume_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/sse"
+)
+
+// take reads n events and returns their text and the last event id.
+func take(t *testing.T, events *sse.Reader, n int) (text, lastID string) {
+	t.Helper()
+	for i := 0; n < 0 || i < n; i++ {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			t.Fatal("stream ended without its end mark")
+		}
+		assert.NilError(t, err)
+		if string(e.Data) == "[DONE]" {
+			return text, lastID
+		}
+		var c chunkText
+		assert.NilError(t, json.Unmarshal(e.Data, &c))
+		text += c.Choices[0].Text
+		lastID = e.ID
+	}
+	return text, lastID
+}
+
+// Guards against an answer that is lost or repeated in part when its VM dies
+// and the caller goes on through another one.
+func TestResumeThroughAnotherVM(t *testing.T) {
+	f := newFixture(t, 1, 2, nil)
+	ctx, dropVM := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.urls[0]+"/v1/completions",
+		strings.NewReader(`{"model":"catalogue","prompt":"heats","max_tokens":1500,"stream":true}`))
+	assert.NilError(t, err)
+	resp := do(t, req, HeaderResumable, "true")
+	first, lastID := take(t, sse.NewReader(resp.Body), 40)
+	token := resp.Header.Get(HeaderResumeToken)
+	dropVM()
+
+	again, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.urls[1]+"/v1/resume", nil)
+	assert.NilError(t, err)
+	resumed := do(t, again, HeaderResumeToken, token, "Last-Event-ID", lastID)
+	if resumed.StatusCode != http.StatusOK {
+		t.Fatal(readAll(t, resumed.Body), f.engines[0].Inventory(), f.engines[0].Record().Entries())
+	}
+	rest, _ := take(t, sse.NewReader(resumed.Body), -1)
+	assert.Equal(t, first+rest, wantAnswer(`"heats"`, 0, 1500))
+	f.nothingHeld(t)
+}
+
+// Guards against an account that reads another account's answer.
+func TestResumeTokenIsBoundToItsAccount(t *testing.T) {
+	f := newFixture(t, 1, 1, nil)
+	resp := f.send(t, `{"model":"catalogue","prompt":"secret","max_tokens":3000,"stream":true}`)
+	take(t, sse.NewReader(resp.Body), 3)
+	token := resp.Header.Get(HeaderResumeToken)
+	for name, headers := range map[string][]string{
+		"another account": {HeaderResumeToken, token, "Authorization", "Bearer " + otherKey},
+		"altered token":   {HeaderResumeToken, token[:len(token)-2] + "AA"},
+		"no token":        {},
+		"endless token":   {HeaderResumeToken, strings.Repeat("A", 8000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.urls[0]+"/v1/resume", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, do(t, req, headers...).StatusCode, http.StatusForbidden)
+		})
+	}
+}
--- /dev/null
+++ b/internal/loadgen/request.go
@@ -0,0 +1,256 @@
+// Package loadgen generates load on completion endpoints and checks the
+// answers: arrivals do not wait for answers (open loop), prompts follow a mix
+// of lengths, and times are kept in histograms by prompt length.
+package loadgen
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/standin"
+)
+
+// Request is one request to send.
+type Request struct {
+	ID           string
+	Model        string
+	PromptTokens int
+	MaxTokens    int
+	Timeout      time.Duration
+	// Prefix is a text that the prompt starts with, for prompts that share
+	// their beginning.
+	Prefix string
+	// ReadDelay is waited after each event, as a slow reader does.
+	ReadDelay time.Duration
+	// GiveUpAfter closes the connection after so many events; 0 never.
+	GiveUpAfter int
+}
+
+// Result is what the caller experienced.
+type Result struct {
+	Request    Request
+	Sent       time.Time
+	FirstToken time.Duration // 0 when there was none
+	Total      time.Duration
+	Status     int
+	Outcome    apierror.Outcome // empty when the answer was whole
+	Whole      bool
+	// Wrong is true when the answer was taken for whole and is not the right one.
+	Wrong  bool
+	Events int
+	Error  string
+	Token  string // resume token
+}
+
+// Client sends requests to entry processes in turn.
+type Client struct {
+	Entries []string // addresses, IP:port
+	Key     string
+	HTTP    *http.Client
+
+	mu   sync.Mutex
+	next int
+}
+
+// NewClient returns a client of the entries.
+func NewClient(entries []string, key string) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		DisableCompression:  true,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+	return &Client{Entries: entries, Key: key, HTTP: &http.Client{Transport: transport}}
+}
+
+func (c *Client) entry() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	return c.Entries[c.next%len(c.Entries)]
+}
+
+var filler = func() string {
+	r := rand.New(rand.NewPCG(1, 2))
+	b := make([]byte, 6<<20)
+	for i := range b {
+		b[i] = byte('a' + r.IntN(26))
+	}
+	return string(b)
+}()
+
+// Prompt returns the text of a request's prompt. It differs between requests
+// after the shared prefix, so that only that is found in prefix caches.
+func Prompt(r Request) string {
+	size := r.PromptTokens*standin.BytesPerToken - 2 // two quotes
+	head := r.Prefix + r.ID + " "
+	if size <= len(head) {
+		return head[:max(1, size)]
+	}
+	return head + filler[:min(size-len(head), len(filler))]
+}
+
+// Body returns the JSON body of a request.
+func Body(r Request) []byte {
+	var b bytes.Buffer
+	prompt := Prompt(r)
+	b.Grow(len(prompt) + 128)
+	fmt.Fprintf(&b, `{"model":%q,"stream":true,"max_tokens":%d,"prompt":"`, r.Model, r.MaxTokens)
+	b.WriteString(prompt)
+	b.WriteString(`"}`)
+	return b.Bytes()
+}
+
+// Do sends a streamed request and checks the answer.
+func (c *Client) Do(ctx context.Context, r Request) Result {
+	return c.DoAt(ctx, c.entry(), r)
+}
+
+// DoAt is Do at a given entry process.
+func (c *Client) DoAt(ctx context.Context, entry string, r Request) Result {
+	body := Body(r)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/completions", bytes.NewReader(body))
+	result := Result{Request: r, Sent: time.Now()}
+	if err != nil {
+		result.Error = err.Error()
+		return result
+	}
+	req.Header.Set("X-Request-Id", r.ID)
+	if r.Timeout > 0 {
+		req.Header.Set("X-Request-Timeout-Ms", fmt.Sprint(r.Timeout.Milliseconds()))
+	}
+	c.send(req, &result, 0)
+	return result
+}
+
+// Resume continues a broken answer at an entry process.
+func (c *Client) Resume(ctx context.Context, entry string, broken Result) Result {
+	result := broken
+	result.Error, result.Outcome = "", ""
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/resume", nil)
+	if err != nil {
+		result.Error = err.Error()
+		return result
+	}
+	req.Header.Set("X-Resume-Token", broken.Token)
+	if broken.Events > 0 {
+		req.Header.Set("Last-Event-ID", fmt.Sprint(broken.Events-1))
+	}
+	c.send(req, &result, broken.Events)
+	return result
+}
+
+func (c *Client) send(req *http.Request, result *Result, from int) {
+	defer func() { result.Total = time.Since(result.Sent) }()
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		result.Error = err.Error()
+		return
+	}
+	defer resp.Body.Close()
+	result.Status = resp.StatusCode
+	if token := resp.Header.Get("X-Resume-Token"); token != "" {
+		result.Token = token
+	}
+	if resp.StatusCode != http.StatusOK {
+		readError(resp.Body, result)
+		return
+	}
+	readStream(resp.Body, result, from)
+}
+
+func readError(body io.Reader, result *Result) {
+	data, _ := io.ReadAll(io.LimitReader(body, 64<<10))
+	var e apierror.Body
+	if err := json.Unmarshal(data, &e); err != nil {
+		result.Error = string(data)
+		return
+	}
+	result.Outcome = e.Error.Outcome
+	result.Error = string(e.Error.Code) + ": " + e.Error.Message
+}
+
+// streamLine is the part of a chunk that is checked.
+type streamLine struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *apierror.Detail `json:"error"`
+}
+
+func readStream(body io.Reader, result *Result, from int) {
+	quoted := `"` + Prompt(result.Request) + `"`
+	hash := standin.PromptHash([]byte(quoted))
+	reader := bufio.NewReaderSize(body, 2<<10)
+	result.Events = from
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			if result.Error == "" {
+				result.Error = "stream broke: " + err.Error()
+			}
+			return
+		}
+		if token, ok := strings.CutPrefix(line, ": resume-token "); ok {
+			result.Token = strings.TrimSpace(token)
+		}
+		data, ok := strings.CutPrefix(strings.TrimRight(line, "\n"), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			result.Whole = result.Events == result.Request.MaxTokens
+			result.Wrong = result.Wrong || !result.Whole
+			return
+		}
+		if err := result.take(data, hash); err != nil {
+			result.Error = err.Error()
+			return
+		}
+		if result.Request.GiveUpAfter > 0 && result.Events >= result.Request.GiveUpAfter {
+			result.Error = errGaveUp.Error()
+			return
+		}
+		if result.Request.ReadDelay > 0 {
+			time.Sleep(result.Request.ReadDelay)
+		}
+	}
+}
+
+var errGaveUp = errors.New("caller gave up as planned")
+
+// take checks one chunk against the answer that the engine must give.
+func (r *Result) take(data string, hash uint64) error {
+	var l streamLine
+	if err := json.Unmarshal([]byte(data), &l); err != nil {
+		return fmt.Errorf("chunk is not valid JSON: %w", err)
+	}
+	if l.Error != nil {
+		r.Outcome = l.Error.Outcome
+		return fmt.Errorf("%s: %s", l.Error.Code, l.Error.Message)
+	}
+	if len(l.Choices) == 0 {
+		return nil
+	}
+	if r.FirstToken == 0 {
+		r.FirstToken = time.Since(r.Sent)
+	}
+	if l.Choices[0].Text != standin.AnswerToken(hash, r.Events) {
+		r.Wrong = true
+	}
+	r.Events++
+	return nil
+}
