Add stand-ins for the platform's services and for plain services

Clients of the table service, the object store and the VM list need something to be checked against that fails as the real ones do. The stand-ins serve the in-memory fakes over HTTP with switches for faults, and record what they saw in each second, so that checks do not rely on oriolefront's own counters.

--- a/cmd/oriolestandin/main.go
+++ b/cmd/oriolestandin/main.go
@@ -25,14 +25,15 @@
 
 usage: oriolestandin -world FILE
 
-FILE is TOML with tables [[engine]]; see docs/standins.md. It serves until
-SIGTERM or SIGINT.
+FILE is TOML with tables [[engine]], [table], [objects], [vms] and [[plain]];
+see docs/standins.md. It serves until SIGTERM or SIGINT.
 
 `
 
 // world lists the stand-ins to run.
 type world struct {
 	Engines []engineTable `toml:"engine"`
+	platform
 }
 
 type engineTable struct {
@@ -68,11 +69,12 @@
 		flag.Usage()
 		return 2
 	}
-	var w world
-	meta, err := toml.DecodeFile(*file, &w)
-	if err == nil && len(meta.Undecoded()) > 0 {
-		err = fmt.Errorf("%s: unknown key %s", *file, meta.Undecoded()[0])
+	text, err := os.ReadFile(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
 	}
+	w, err := parseWorld(*file, string(text))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -86,6 +88,19 @@
 	return 0
 }
 
+// parseWorld decodes a world file and refuses keys that it does not know.
+func parseWorld(file, text string) (world, error) {
+	var w world
+	meta, err := toml.Decode(text, &w)
+	if err != nil {
+		return w, fmt.Errorf("%s: %w", file, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return w, fmt.Errorf("%s: unknown key %s", file, unknown[0])
+	}
+	return w, w.check(file)
+}
+
 func serve(ctx context.Context, w world) error {
 	log, err := logging.New(os.Stderr, "info")
 	if err != nil {
@@ -101,6 +116,9 @@
 		go http.Serve(listener, e.Handler())
 		log.Info("engine stand-in serves", "name", t.Name, "address", t.Listen)
 	}
+	if err := w.servePlatform(log); err != nil {
+		return err
+	}
 	<-ctx.Done()
 	return nil
 }
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/store/storefake"
+)
+
+// maxTableBodyBytes bounds one request to the table service.
+const maxTableBodyBytes = 32 << 20
+
+// Table is a stand-in for the transactional table service.
+type Table struct {
+	front
+	table *storefake.Table
+}
+
+// NewTable returns an empty table service.
+func NewTable() *Table { return &Table{table: storefake.NewTable()} }
+
+// Inner returns the table that is served, for checks that read it directly.
+func (t *Table) Inner() *storefake.Table { return t.table }
+
+// Handler returns the HTTP interface of the table service.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /get", t.guard(false, t.serveGet))
+	mux.HandleFunc("POST /scan", t.guard(false, t.serveScan))
+	mux.HandleFunc("POST /commit", t.guard(true, t.serveCommit))
+	t.register(mux)
+	return mux
+}
+
+func decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(io.LimitReader(r.Body, maxTableBodyBytes)).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func (t *Table) serveGet(w http.ResponseWriter, r *http.Request) {
+	var req store.GetRequest
+	if !decodeBody(w, r, &req) {
+		return
+	}
+	rows, err := t.table.Get(r.Context(), req.Keys...)
+	answerRows(w, rows, err)
+}
+
+func (t *Table) serveScan(w http.ResponseWriter, r *http.Request) {
+	var req store.ScanRequest
+	if !decodeBody(w, r, &req) {
+		return
+	}
+	rows, err := t.table.Scan(r.Context(), req.Prefix, req.After, max(req.Limit, 0))
+	answerRows(w, rows, err)
+}
+
+func answerRows(w http.ResponseWriter, rows []store.Row, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, store.RowsAnswer{Rows: rows})
+}
+
+func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var txn store.Txn
+	if !decodeBody(w, r, &txn) {
+		return
+	}
+	revision, err := t.table.Commit(r.Context(), txn)
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, store.ErrUnavailable):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case err != nil || t.losesAnswer():
+		panic(http.ErrAbortHandler)
+	default:
+		writeJSON(w, store.CommitAnswer{Revision: revision})
+	}
+}
+
+// Objects is a stand-in for the object store.
+type Objects struct {
+	front
+	objects *storefake.Objects
+}
+
+// NewObjects returns an empty object store.
+func NewObjects() *Objects { return &Objects{objects: storefake.NewObjects()} }
+
+// Handler returns the HTTP interface of the object store.
+func (o *Objects) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /objects/{name...}", o.guard(true, o.servePut))
+	mux.HandleFunc("GET /objects/{name...}", o.guard(false, o.serveGet))
+	mux.HandleFunc("DELETE /objects/{name...}", o.guard(true, o.serveDelete))
+	o.register(mux)
+	return mux
+}
+
+func (o *Objects) servePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxObjectBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o.answerWrite(w, o.objects.Put(r.Context(), r.PathValue("name"), data))
+}
+
+func (o *Objects) serveDelete(w http.ResponseWriter, r *http.Request) {
+	o.answerWrite(w, o.objects.Delete(r.Context(), r.PathValue("name")))
+}
+
+func (o *Objects) answerWrite(w http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if o.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (o *Objects) serveGet(w http.ResponseWriter, r *http.Request) {
+	data, err := o.objects.Get(r.Context(), r.PathValue("name"))
+	switch {
+	case errors.Is(err, store.ErrNoObject):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Write(data)
+	}
+}
--- /dev/null
+++ b/internal/standin/vmlist.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/store"
+)
+
+// VMs is a stand-in for the platform's list of VMs. Changes show after a lag.
+type VMs struct {
+	front
+	lag     time.Duration
+	vmsMu   sync.Mutex
+	visible map[string]store.VM
+	pending []vmChange
+}
+
+// vmChange is a change that the list shows from a time on.
+type vmChange struct {
+	at     time.Time
+	vm     store.VM
+	remove bool
+}
+
+// NewVMs returns an empty list that lags by lag.
+func NewVMs(lag time.Duration) *VMs {
+	return &VMs{lag: lag, visible: map[string]store.VM{}}
+}
+
+// Register adds or changes the entry of a VM, found by its peer address.
+func (v *VMs) Register(vm store.VM) { v.change(vmChange{vm: vm}) }
+
+// Remove removes the entry of the VM with the peer address.
+func (v *VMs) Remove(peer string) { v.change(vmChange{vm: store.VM{Peer: peer}, remove: true}) }
+
+func (v *VMs) change(c vmChange) {
+	v.vmsMu.Lock()
+	defer v.vmsMu.Unlock()
+	c.at = time.Now().Add(v.lag)
+	v.pending = append(v.pending, c)
+}
+
+// List returns the entries that show now, in order of their peer addresses.
+func (v *VMs) List() []store.VM {
+	v.vmsMu.Lock()
+	defer v.vmsMu.Unlock()
+	now := time.Now()
+	for len(v.pending) > 0 && !v.pending[0].at.After(now) {
+		c := v.pending[0]
+		v.pending = v.pending[1:]
+		if c.remove {
+			delete(v.visible, c.vm.Peer)
+		} else {
+			v.visible[c.vm.Peer] = c.vm
+		}
+	}
+	list := make([]store.VM, 0, len(v.visible))
+	for _, vm := range v.visible {
+		list = append(list, vm)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Peer < list[j].Peer })
+	return list
+}
+
+// VMsControl is the body of POST /control of the VM list. Absent fields change
+// nothing.
+type VMsControl struct {
+	Register []store.VM      `json:"register"`
+	Remove   []string        `json:"remove"` // peer addresses
+	Faults   *PlatformFaults `json:"faults"`
+}
+
+// Handler returns the HTTP interface of the VM list.
+func (v *VMs) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", v.guard(false, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, store.VMList{VMs: v.List()})
+	}))
+	mux.HandleFunc("POST /control", v.serveControl)
+	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, v.Record()) })
+	return mux
+}
+
+func (v *VMs) serveControl(w http.ResponseWriter, r *http.Request) {
+	var c VMsControl
+	if err := decodeStrict(r.Body, &c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, vm := range c.Register {
+		if vm.Peer == "" || (vm.State != store.VMLive && vm.State != store.VMLeaving) {
+			http.Error(w, `an entry needs a peer address and the state "live" or "leaving"`, http.StatusBadRequest)
+			return
+		}
+	}
+	for _, vm := range c.Register {
+		v.Register(vm)
+	}
+	for _, peer := range c.Remove {
+		v.Remove(peer)
+	}
+	if c.Faults != nil {
+		v.SetFaults(*c.Faults)
+	}
+}
--- /dev/null
+++ b/internal/store/wire.go
@@ -0,0 +1,49 @@
+package store
+
+// MaxObjectBytes bounds one object, and the answers that clients read.
+const MaxObjectBytes = 16 << 20
+
+// GetRequest is the body of POST /get of the table service.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// ScanRequest is the body of POST /scan of the table service.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// RowsAnswer is the answer to POST /get and POST /scan.
+type RowsAnswer struct {
+	Rows []Row `json:"rows"`
+}
+
+// CommitAnswer is the answer to POST /commit. Status 409 means that a
+// condition did not hold, 429 and 503 that the transaction was not applied.
+type CommitAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+// VMState is the state of a VM in the platform's list.
+type VMState string
+
+// The states of the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one entry of the platform's lagging list of VMs (GET /vms).
+type VM struct {
+	Address string  `json:"address"` // IP address of the VM
+	Peer    string  `json:"peer"`    // IP:port for links between VMs
+	Zone    string  `json:"zone"`
+	State   VMState `json:"state"`
+}
+
+// VMList is the answer to GET /vms.
+type VMList struct {
+	VMs []VM `json:"vms"`
+}
