Add the HTTP client of the platform's services

The table service fails, is slow, and loses answers after the write. The client says exactly what a commit did: ErrConflict and ErrUnavailable when nothing can have been written, ErrUnknown once a connection was obtained; a commit in doubt is never sent again. Calls are spaced evenly under this VM's share of the ceilings without saving up a burst, retries have a budget, and a breaker lets one probe through. Nine clients with 360 callers stay below 2,000 reads and 300 writes in each second during and after an outage.

--- /dev/null
+++ b/internal/store/httpstore/client.go
@@ -0,0 +1,361 @@
+// Package httpstore is the HTTP client for the platform's table service, its
+// object store and its list of VMs.
+//
+// It keeps each service within what this VM may load it with: a ceiling on
+// reads and writes a second, a retry budget and a circuit breaker.
+package httpstore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/oriolefront/oriolefront/internal/budget"
+	"github.com/oriolefront/oriolefront/internal/store"
+)
+
+// Ceilings of the whole fleet on the platform's store.
+const (
+	FleetReadsPerSecond  = 2000
+	FleetWritesPerSecond = 300
+	// ceilingMargin keeps the fleet below the ceilings although the network
+	// may deliver evenly spaced calls closer together.
+	ceilingMargin = 0.95
+)
+
+const (
+	defaultSeats       = 9
+	defaultCallTimeout = time.Second
+	// defaultTotalTimeout bounds calls whose context has no deadline, waits
+	// and retries included.
+	defaultTotalTimeout = 4 * time.Second
+	defaultQueueLength  = 64
+	dialTimeout         = 500 * time.Millisecond
+	maxTries            = 3
+	backoffBase         = 20 * time.Millisecond
+	backoffMax          = 500 * time.Millisecond
+	maxErrorBodyBytes   = 1 << 10
+	// maxIdleConns is enough for the calls of one VM in flight at a time.
+	maxIdleConns = 16
+)
+
+// The retry budget adds at most a tenth to the load of a failing store.
+var retryOptions = budget.RetryOptions{Ratio: 0.1, PerSecond: 1, Max: 10}
+
+// Options configure a Client. Zero values take the defaults.
+type Options struct {
+	// TableURL, ObjectsURL and VMsURL are base URLs such as "http://IP:port".
+	TableURL, ObjectsURL, VMsURL string
+	// Seats is the number that the fleet's ceilings are divided by. Default 9.
+	Seats int
+	// CallTimeout bounds one try. Default 1s.
+	CallTimeout time.Duration
+	// TotalTimeout bounds a call with its retries if its context has no
+	// deadline. Default 4s.
+	TotalTimeout time.Duration
+	// QueueLength bounds the callers that wait for their turn, for reads and
+	// writes each. Default 64.
+	QueueLength int
+	// OnContact is called after each answer of the table service that shows
+	// that it worked, if the answer came within CallTimeout of the request. An
+	// answer that a paused process reads late is no sign of recent contact.
+	OnContact func()
+	// Transport replaces the HTTP transport.
+	Transport http.RoundTripper
+}
+
+func (o *Options) applyDefaults() {
+	if o.Seats <= 0 {
+		o.Seats = defaultSeats
+	}
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.TotalTimeout <= 0 {
+		o.TotalTimeout = defaultTotalTimeout
+	}
+	if o.QueueLength <= 0 {
+		o.QueueLength = defaultQueueLength
+	}
+	if o.OnContact == nil {
+		o.OnContact = func() {}
+	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		}
+	}
+}
+
+// Client reaches the platform's services. Table and objects share the
+// ceilings; each service has its own breaker and retry budget.
+type Client struct {
+	options Options
+	reads   *pacer
+	writes  *pacer
+	table   *service
+	objects *service
+	vms     *service
+}
+
+// service is one of the platform's services.
+type service struct {
+	name      string
+	base      string
+	http      *http.Client
+	timeout   time.Duration
+	onContact func()
+	breaker   breaker
+	budget    *budget.Retry
+	counters  counters
+}
+
+type counters struct {
+	reads, writes, retries, conflicts, unavailable, unknown, refusedLocally, contacts atomic.Uint64
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	o.applyDefaults()
+	share := ceilingMargin / float64(o.Seats)
+	c := &Client{
+		options: o,
+		reads:   newPacer(FleetReadsPerSecond*share, o.QueueLength),
+		writes:  newPacer(FleetWritesPerSecond*share, o.QueueLength),
+	}
+	none := func() {}
+	c.table = c.newService("table", o.TableURL, o.OnContact)
+	c.objects = c.newService("objects", o.ObjectsURL, none)
+	c.vms = c.newService("vms", o.VMsURL, none)
+	return c
+}
+
+func (c *Client) newService(name, base string, onContact func()) *service {
+	return &service{
+		name:      name,
+		base:      base,
+		http:      &http.Client{Transport: c.options.Transport},
+		timeout:   c.options.CallTimeout,
+		onContact: onContact,
+		budget:    budget.NewRetry(retryOptions),
+	}
+}
+
+// call is one call to a service, which may be tried several times.
+type call struct {
+	service *service
+	method  string
+	path    string
+	body    []byte
+	write   bool
+	// repeatable says that the call may be sent again although an earlier try
+	// may have taken effect.
+	repeatable bool
+	maxAnswer  int64
+}
+
+// do makes a call with retries and returns the body of the answer.
+func (c *Client) do(ctx context.Context, k call) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.options.TotalTimeout)
+		defer cancel()
+	}
+	k.service.budget.OnRequest()
+	// uncertain says that an earlier try may have taken effect.
+	uncertain := false
+	for try := 1; ; try++ {
+		data, sent, err := c.try(ctx, k)
+		uncertain = uncertain || errors.Is(err, store.ErrUnknown)
+		if !sent || !k.retryable(err) || try == maxTries || !k.service.budget.Take() || !backOff(ctx, try) {
+			return data, k.service.count(combine(err, uncertain))
+		}
+		k.service.counters.retries.Add(1)
+	}
+}
+
+// combine keeps the doubt of an earlier try that a later refusal cannot remove.
+func combine(err error, uncertain bool) error {
+	if uncertain && errors.Is(err, store.ErrUnavailable) {
+		return merry.Prepend(store.ErrUnknown, err.Error())
+	}
+	return err
+}
+
+func (k call) retryable(err error) bool {
+	if errors.Is(err, errRejected) {
+		return false
+	}
+	return errors.Is(err, store.ErrUnavailable) || k.repeatable && errors.Is(err, store.ErrUnknown)
+}
+
+// backOff pauses with full jitter and reports whether time is left to try again.
+func backOff(ctx context.Context, try int) bool {
+	pause := rand.N(min(backoffBase<<try, backoffMax))
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= pause {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try waits for the call's turn and sends it once. sent is false when this VM
+// itself held the call back; such a call is not tried again.
+func (c *Client) try(ctx context.Context, k call) (data []byte, sent bool, err error) {
+	s := k.service
+	if !s.breaker.ready() {
+		return nil, false, s.refuse(errBreakerOpen)
+	}
+	pacer := c.reads
+	if k.write {
+		pacer = c.writes
+	}
+	if err := pacer.wait(ctx); err != nil {
+		return nil, false, s.refuse(err)
+	}
+	ok, probe := s.breaker.allow()
+	if !ok {
+		return nil, false, s.refuse(errBreakerOpen)
+	}
+	data, result, err := s.send(ctx, k)
+	s.breaker.done(result, probe)
+	return data, true, err
+}
+
+var errBreakerOpen = merry.Prepend(store.ErrUnavailable, "circuit breaker is open")
+
+func (s *service) refuse(err error) error {
+	s.counters.refusedLocally.Add(1)
+	return merry.Prepend(err, s.name)
+}
+
+// send makes one HTTP request and classifies its end.
+func (s *service) send(ctx context.Context, k call) ([]byte, callResult, error) {
+	s.countSent(k)
+	started := time.Now()
+	tryCtx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	// A connection that was obtained may carry bytes of the request even if
+	// the write fails later, so only earlier failures wrote nothing for sure.
+	tryCtx = httptrace.WithClientTrace(tryCtx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	status, data, err := s.roundTrip(tryCtx, k)
+	result := failing
+	if errors.Is(ctx.Err(), context.Canceled) {
+		result = noResult
+	}
+	if err != nil {
+		return nil, result, lost(k, err, sent.Load())
+	}
+	err = statusError(k, status, data)
+	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrNoObject) || errors.Is(err, errRejected) {
+		result = healthy
+		s.noteContact(started)
+	}
+	return data, result, err
+}
+
+func (s *service) noteContact(started time.Time) {
+	if time.Since(started) > s.timeout {
+		return
+	}
+	s.counters.contacts.Add(1)
+	s.onContact()
+}
+
+func (s *service) roundTrip(ctx context.Context, k call) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, k.method, s.base+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	limit := k.maxAnswer
+	if resp.StatusCode >= 300 {
+		limit = maxErrorBodyBytes
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(data)) > limit && resp.StatusCode < 300 {
+		err = merry.Errorf("answer is larger than %d bytes", limit)
+	}
+	if resp.StatusCode >= 300 {
+		err = nil // the status says it all
+	}
+	return resp.StatusCode, data, err
+}
+
+// lost classifies a try that got no whole answer.
+func lost(k call, err error, sent bool) error {
+	if k.write && sent {
+		return merry.Prepend(store.ErrUnknown, err.Error())
+	}
+	return merry.Prepend(store.ErrUnavailable, err.Error())
+}
+
+// statusError classifies an answer by its status.
+func statusError(k call, status int, data []byte) error {
+	detail := string(bytes.TrimSpace(data[:min(len(data), maxErrorBodyBytes)]))
+	switch {
+	case status < 300:
+		return nil
+	case status == http.StatusConflict:
+		return merry.Wrap(store.ErrConflict)
+	case status == http.StatusNotFound && k.method == http.MethodGet:
+		return merry.Wrap(store.ErrNoObject)
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return merry.Prepend(store.ErrUnavailable, detail)
+	case status >= 400 && status < 500:
+		// The service refused the request as wrong; it will not take it later.
+		return merry.Prepend(errRejected, detail)
+	default:
+		return lost(k, merry.Errorf("status %d: %s", status, detail), true)
+	}
+}
+
+// errRejected reports a request that the service refuses as wrong: nothing was
+// written, and a repeat is refused too.
+var errRejected = merry.Prepend(store.ErrUnavailable, "store rejected the request as wrong")
+
+func (s *service) countSent(k call) {
+	if k.write {
+		s.counters.writes.Add(1)
+	} else {
+		s.counters.reads.Add(1)
+	}
+}
+
+func (s *service) count(err error) error {
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		s.counters.conflicts.Add(1)
+	case errors.Is(err, store.ErrUnavailable):
+		s.counters.unavailable.Add(1)
+	case errors.Is(err, store.ErrUnknown):
+		s.counters.unknown.Add(1)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/store/httpstore/httpstore_test.go
@@ -0,0 +1,207 @@
+package httpstore
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/standin"
+	"github.com/oriolefront/oriolefront/internal/store"
+)
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func insert(key string) store.Txn {
+	return store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Ops:        []store.Op{{Key: key, Value: []byte("v")}},
+	}
+}
+
+// Guards against a wrong claim about whether a commit was written, which would
+// make callers send twice or believe in a write that did not happen.
+func TestCommitUnderEachFault(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		faults  standin.PlatformFaults
+		err     error
+		written bool
+	}{
+		{"none", standin.PlatformFaults{}, nil, true},
+		{"down", standin.PlatformFaults{Down: true}, store.ErrUnavailable, false},
+		{"dropped", standin.PlatformFaults{Drop: true}, store.ErrUnknown, false},
+		{"slow", standin.PlatformFaults{DelayMS: 400}, store.ErrUnknown, true},
+		{"answer lost", standin.PlatformFaults{LoseEvery: 1}, store.ErrUnknown, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			service := standin.NewTable()
+			var contacts atomic.Int32
+			client := New(Options{TableURL: serve(t, service.Handler()), CallTimeout: 200 * time.Millisecond,
+				OnContact: func() { contacts.Add(1) }})
+			service.SetFaults(c.faults)
+			_, err := client.Table().Commit(t.Context(), insert("k"))
+			assert.ErrorIs(t, err, c.err)
+			assert.Equal(t, contacts.Load() > 0, c.err == nil)
+			if errors.Is(c.err, store.ErrUnknown) {
+				assert.Equal(t, service.Record().Writes, 1, "a commit in doubt was sent again")
+			}
+			time.Sleep(300 * time.Millisecond)
+			rows, err := service.Inner().Get(t.Context(), "k")
+			assert.NilError(t, err)
+			assert.Equal(t, rows[0].Revision != 0, c.written)
+		})
+	}
+}
+
+// Guards against calling a commit unknown that never left this VM, and against
+// calls that load a service although its breaker is open.
+func TestNothingSent(t *testing.T) {
+	service := standin.NewTable()
+	server := httptest.NewServer(service.Handler())
+	client := New(Options{TableURL: server.URL})
+	_, err := client.Table().Commit(t.Context(), insert("a"))
+	assert.NilError(t, err)
+	_, err = client.Table().Commit(t.Context(), insert("a"))
+	assert.ErrorIs(t, err, store.ErrConflict)
+	service.SetFaults(standin.PlatformFaults{WritesPerSecond: 1, Down: true})
+	for range failuresToOpen {
+		_, err = client.Table().Commit(t.Context(), insert("b"))
+		assert.ErrorIs(t, err, store.ErrUnavailable)
+	}
+	before := service.Record().Writes
+	_, err = client.Table().Commit(t.Context(), insert("b"))
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	assert.Equal(t, service.Record().Writes, before)
+	server.Close()
+	_, err = New(Options{TableURL: server.URL}).Table().Commit(t.Context(), insert("b"))
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+}
+
+// Guards against more than one probe of a half-open breaker.
+func TestBreakerLetsOneProbeThrough(t *testing.T) {
+	b := &breaker{}
+	for range failuresToOpen {
+		b.done(failing, false)
+	}
+	ok, _ := b.allow()
+	assert.Assert(t, !ok)
+	time.Sleep(openTimeMin)
+	var passed atomic.Int32
+	var group sync.WaitGroup
+	for range 50 {
+		group.Go(func() {
+			if ok, _ := b.allow(); ok {
+				passed.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, passed.Load(), int32(1))
+	b.done(healthy, true)
+	ok, probe := b.allow()
+	assert.Assert(t, ok && !probe)
+}
+
+// Guards against a burst at the end of an outage: nine clients with more
+// callers than the ceilings allow must stay below them in every second.
+func TestCeilingsAfterOutage(t *testing.T) {
+	const clients, callers, outage = 9, 40, 2 * time.Second
+	service := standin.NewTable()
+	url := serve(t, service.Handler())
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for range clients {
+		client := New(Options{TableURL: url, Seats: clients})
+		for i := range callers {
+			group.Go(func() { loadTable(ctx, client.Table(), i%2 == 0) })
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	service.SetFaults(standin.PlatformFaults{Down: true})
+	time.Sleep(outage)
+	service.SetFaults(standin.PlatformFaults{})
+	recovered := time.Now().Unix() + 1
+	group.Wait()
+	afterwards := 0
+	for _, s := range service.Record().Seconds {
+		assert.Assert(t, s.Reads <= FleetReadsPerSecond, "second %d: %d reads", s.Second, s.Reads)
+		assert.Assert(t, s.Writes <= FleetWritesPerSecond, "second %d: %d writes", s.Second, s.Writes)
+		if s.Second > recovered {
+			afterwards = max(afterwards, s.Writes)
+		}
+	}
+	assert.Assert(t, afterwards > FleetWritesPerSecond/2, "%d writes a second after the outage: the test did not load the store", afterwards)
+}
+
+// loadTable calls without a pause until ctx ends, except that a refused caller
+// waits a little, so that the test does not spend the processor on refusals.
+func loadTable(ctx context.Context, table store.Table, write bool) {
+	for ctx.Err() == nil {
+		var err error
+		if write {
+			_, err = table.Commit(ctx, store.Txn{Ops: []store.Op{{Key: "k"}}})
+		} else {
+			_, err = table.Get(ctx, "k")
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Guards against a retry that gives up an object, or a stale list of VMs.
+func TestObjectsAndVMs(t *testing.T) {
+	objects, vms := standin.NewObjects(), standin.NewVMs(100*time.Millisecond)
+	client := New(Options{ObjectsURL: serve(t, objects.Handler()), VMsURL: serve(t, vms.Handler())})
+	objects.SetFaults(standin.PlatformFaults{LoseEvery: 2})
+	for _, name := range []string{"a/b c", "d", "e"} {
+		assert.NilError(t, client.Objects().Put(t.Context(), name, []byte(name)))
+		data, err := client.Objects().Get(t.Context(), name)
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), name)
+	}
+	assert.NilError(t, client.Objects().Delete(t.Context(), "d"))
+	_, err := client.Objects().Get(t.Context(), "d")
+	assert.ErrorIs(t, err, store.ErrNoObject)
+	vms.Register(store.VM{Peer: "127.0.0.1:1", State: store.VMLive})
+	list, err := client.VMs(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 0)
+	time.Sleep(150 * time.Millisecond)
+	list, err = client.VMs(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 1)
+}
+
+// Guards against answers that crash a decoder or pass as valid.
+func FuzzDecodeAnswers(f *testing.F) {
+	f.Add([]byte(`{"revision":1}`))
+	f.Add([]byte(`{"rows":[{"key":"k","value":"dg==","revision":2}]}`))
+	f.Add([]byte(`{"vms":[{"peer":"127.0.0.1:1","state":"live"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if revision, err := decodeRevision(data); err == nil && revision == 0 {
+			t.Fatal("a commit without a revision counts as written")
+		}
+		if vms, err := decodeVMs(data); err == nil {
+			for _, vm := range vms {
+				assert.Assert(t, vm.Peer != "")
+			}
+		}
+		if rows, err := decodeRows(data); err == nil && checkRows(rows, []string{"k"}) == nil {
+			assert.Equal(t, rows[0].Key, "k")
+		}
+	})
+}
