Add orders to engines under leases with fencing numbers

Orders follow from the difference between declaration and report, so a late order of a paused holder is put right by the next comparison where the engine ignores the fencing number. Weighed against a log of orders that are replayed: a replay repeats the late order.

--- /dev/null
+++ b/internal/order/run.go
@@ -0,0 +1,53 @@
+package order
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/engine"
+)
+
+// Interval is the time between two comparisons of all targets.
+const Interval = 2 * time.Second
+
+// Run reconciles the targets for which mine says true until ctx ends. Which VM
+// looks after a target does not matter for safety: the lease decides.
+func (m *Manager) Run(ctx context.Context, holder *config.Holder, clients func(address string) engine.Client, mine func(target string) bool) {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		cfg := holder.Current()
+		if cfg == nil || m.MayAct() != nil {
+			continue
+		}
+		for name, t := range cfg.Targets {
+			if cfg.Services[t.Service].Kind == config.ModelService && mine(name) {
+				m.reconcileOne(ctx, name, t, clients(t.Address))
+			}
+		}
+	}
+}
+
+func (m *Manager) reconcileOne(ctx context.Context, name string, t config.Target, client engine.Client) {
+	ctx, cancel := context.WithTimeout(ctx, m.Lease)
+	defer cancel()
+	err := m.Reconcile(ctx, name, t, client)
+	if err != nil && !errors.Is(err, ErrHeld) && !errors.Is(err, ErrNoLoadSlot) {
+		m.Log.Debug("target is not as declared", "target", name, "error", err)
+	}
+}
+
+func newNonce() string {
+	var b [12]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/slope/fit.go
@@ -0,0 +1,70 @@
+// Package slope measures how the cost of control grows with the size of the
+// system, and fits a line to each measurement.
+package slope
+
+import (
+	"fmt"
+	"math"
+)
+
+// Point is one measurement.
+type Point struct {
+	X, Y float64
+}
+
+// Line is a straight line fitted to points by least squares.
+type Line struct {
+	Slope, Intercept float64
+	R2               float64 // share of the variance that the line explains
+	MinX, MaxX       float64
+}
+
+// Fit returns the least-squares line. It needs two points with different X.
+func Fit(points []Point) Line {
+	n := float64(len(points))
+	var sumX, sumY float64
+	l := Line{MinX: math.Inf(1), MaxX: math.Inf(-1)}
+	for _, p := range points {
+		sumX += p.X
+		sumY += p.Y
+		l.MinX = min(l.MinX, p.X)
+		l.MaxX = max(l.MaxX, p.X)
+	}
+	meanX, meanY := sumX/n, sumY/n
+	var covariance, varianceX, varianceY float64
+	for _, p := range points {
+		covariance += (p.X - meanX) * (p.Y - meanY)
+		varianceX += (p.X - meanX) * (p.X - meanX)
+		varianceY += (p.Y - meanY) * (p.Y - meanY)
+	}
+	l.Slope = covariance / varianceX
+	l.Intercept = meanY - l.Slope*meanX
+	l.R2 = 1
+	if varianceY > 0 {
+		l.R2 = covariance * covariance / (varianceX * varianceY)
+	}
+	return l
+}
+
+// At returns the line's value at x.
+func (l Line) At(x float64) float64 { return l.Intercept + l.Slope*x }
+
+// Result is a measured slope.
+type Result struct {
+	Name   string
+	Unit   string // such as "bytes/s per peer"
+	Points []Point
+	Line   Line
+	// PlanX is the value of X at the planned size, 0 when the plan names none.
+	PlanX float64
+}
+
+// String returns the result in one line.
+func (r Result) String() string {
+	text := fmt.Sprintf("measure=%s slope=%.6g intercept=%.6g unit=%q r2=%.4f range=%g..%g",
+		r.Name, r.Line.Slope, r.Line.Intercept, r.Unit, r.Line.R2, r.Line.MinX, r.Line.MaxX)
+	if r.PlanX > 0 {
+		text += fmt.Sprintf(" plan_x=%g plan_value=%.6g", r.PlanX, r.Line.At(r.PlanX))
+	}
+	return text
+}
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -360,7 +361,10 @@
 func (e *Engine) apply(o engine.Order) {
 	switch o.Kind {
 	case "load-model":
-		e.models = append(e.models, o.Model)
+		if !slices.Contains(e.models, o.Model) {
+			// A new slice, because load reports share the old one.
+			e.models = append(slices.Clone(e.models), o.Model)
+		}
 	case "unload-model":
 		kept := e.models[:0:0]
 		for _, m := range e.models {
