Track entry VMs by heartbeats and compute the isolation verdict

Cause: admission, seats and configuration need to know which VMs live, whether this VM is isolated, and whether it hears a quorum; internal/membership held interfaces only.

Change: View reads the platform list, exchanges heartbeats over link, carries attachments, and passes on the age of the freshest store contact. Contact counts from the send time of an answered heartbeat. Verdict and Quorum read atomics and the clock. Survey and LastHeard answer when a VM was last heard. An address never seen on the lagging list counts as gone only after it was missing for 10 s.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -53,8 +53,8 @@
 type Reader interface {
 	// Verdict is computed for the present moment on the monotonic clock.
 	Verdict() Verdict
-	// Quorum reports whether more than half of the held seats were heard
-	// within the last 3 s.
+	// Quorum reports whether more than half of the held seats answered a
+	// heartbeat that was sent within the last 3 s.
 	Quorum() bool
 	// Peers returns the other VMs; the slice must not be modified.
 	Peers() []Peer
--- /dev/null
+++ b/internal/membership/message.go
@@ -0,0 +1,86 @@
+package membership
+
+import "time"
+
+// Kinds of the messages between VMs that concern membership and seats.
+const (
+	// KindHeartbeat carries a Heartbeat both ways. The View handles it.
+	KindHeartbeat = "Heartbeat"
+	// KindLastHeard asks when a VM last heard an instance. The View handles it.
+	KindLastHeard = "LastHeard"
+	// KindRelayRenew asks a VM with store contact to renew the sender's seats.
+	// Package seat registers the handler.
+	KindRelayRenew = "RelayRenew"
+	// KindSeatClaim announces the claim of a vacant seat to the holders of the
+	// others. Package seat registers the handler.
+	KindSeatClaim = "SeatClaim"
+)
+
+// Claim is a seat as its holder reports it. Only seats with a valid lease are
+// reported.
+type Claim struct {
+	Index int    `msgpack:"i"`
+	Epoch uint64 `msgpack:"e"`
+	// HeldMs is how long the sender has held the seat, rounded down.
+	HeldMs int64 `msgpack:"h"`
+}
+
+// Heartbeat is what a VM tells of itself, in the request and in the reply.
+type Heartbeat struct {
+	From          Instance `msgpack:"f"`
+	Zone          string   `msgpack:"z"`
+	Seats         []Claim  `msgpack:"s"`
+	ConfigVersion uint64   `msgpack:"c"`
+	// ContactMs is the age of the freshest store contact the sender knows of,
+	// its own or another VM's, rounded up; unknownAge when it knows none. Ages
+	// are sent because the clocks of VMs are not comparable.
+	ContactMs int64 `msgpack:"a"`
+	// DirectMs is the age of the sender's own store contact.
+	DirectMs    int64             `msgpack:"d"`
+	Leaving     bool              `msgpack:"l"`
+	Attachments map[string][]byte `msgpack:"x,omitempty"`
+}
+
+// unknownAge stands for an event that is not known to have happened.
+const unknownAge = -1
+
+// lastHeardRequest asks when the receiver last heard an instance.
+type lastHeardRequest struct {
+	Instance Instance `msgpack:"i"`
+}
+
+// lastHeardReply is the answer. AgeMs is rounded down, so that the instance
+// never looks more silent than it is.
+type lastHeardReply struct {
+	From  Instance `msgpack:"f"`
+	AgeMs int64    `msgpack:"a"`
+	Seats []Claim  `msgpack:"s"`
+}
+
+// Answer is what one VM says about when it last heard an instance.
+type Answer struct {
+	From Instance
+	// Heard is false when the VM has not heard the instance since it started.
+	Heard bool
+	Age   time.Duration
+	// Seats are those the VM holds with a valid lease.
+	Seats []Claim
+}
+
+// ageUp returns now-at in milliseconds rounded up, for ages that must not look
+// too fresh.
+func ageUp(now, at time.Duration) int64 {
+	if at == never {
+		return unknownAge
+	}
+	return int64((max(now-at, 0) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// ageDown returns now-at in milliseconds rounded down, for ages that must not
+// look too old.
+func ageDown(now, at time.Duration) int64 {
+	if at == never {
+		return unknownAge
+	}
+	return max(now-at, 0).Milliseconds()
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,292 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/link"
+)
+
+// Default times of a View; section 5 of docs/design.md.
+const (
+	// HeartbeatInterval is the time between two heartbeats to each peer.
+	HeartbeatInterval = 500 * time.Millisecond
+	// HeardWindow is how long an answered heartbeat counts as contact.
+	HeardWindow = 3 * time.Second
+	// ContactWindow is how long a store contact counts.
+	ContactWindow = 3 * time.Second
+	// CallTimeout bounds one heartbeat or question to a peer. A survey has to
+	// end well before the takeover silence (10 s) less HeardWindow.
+	CallTimeout = time.Second
+	// ListInterval is the time between two reads of the platform's VM list.
+	ListInterval = time.Second
+	// AbsentWindow is how long an address that was never on the list has to be
+	// missing from it before its VM counts as gone, because the list lags and a
+	// new VM may run before it is listed.
+	AbsentWindow = 10 * time.Second
+	// RememberListed is how long an address that left the list is known to have
+	// been on it.
+	RememberListed = time.Hour
+	// RememberMissing is how long after the last question an address that was
+	// never on the list is remembered.
+	RememberMissing = time.Minute
+	// KeepUnlisted is how long a silent VM that is not on the list is still
+	// sent heartbeats.
+	KeepUnlisted = time.Minute
+)
+
+// never is the time of an event that has not happened.
+const never = time.Duration(math.MinInt64 / 2)
+
+// Entry is one VM on the platform's list.
+type Entry struct {
+	Address     string // address of the VM for callers
+	PeerAddress string // IP:port for link
+	Zone        string
+	Leaving     bool
+}
+
+// Lister reads the platform's VM list, which lags.
+type Lister interface {
+	List(ctx context.Context) ([]Entry, error)
+}
+
+// ListerFunc is a function that implements Lister.
+type ListerFunc func(ctx context.Context) ([]Entry, error)
+
+// List implements Lister.
+func (f ListerFunc) List(ctx context.Context) ([]Entry, error) { return f(ctx) }
+
+// Seats is what a View asks of the seats of this VM. Its methods must not
+// block, and of the View they may call Now only.
+type Seats interface {
+	// Leased returns the seats with a valid lease.
+	Leased() []Claim
+	// Occupied returns the number of held seats of all VMs that this VM has to
+	// reckon with.
+	Occupied() int
+}
+
+// Options configure a View. Zero values of times select the defaults.
+type Options struct {
+	Self   Instance
+	Zone   string
+	Caller link.Caller
+	Lister Lister
+	Log    *slog.Logger
+
+	Interval      time.Duration
+	HeardWindow   time.Duration
+	ContactWindow time.Duration
+	CallTimeout   time.Duration
+	ListInterval  time.Duration
+	AbsentWindow  time.Duration
+	// Now returns monotonic time since a fixed moment; nil selects the clock
+	// of the process.
+	Now func() time.Duration
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Interval, HeartbeatInterval)
+	setDefault(&o.HeardWindow, HeardWindow)
+	setDefault(&o.ContactWindow, ContactWindow)
+	setDefault(&o.CallTimeout, CallTimeout)
+	setDefault(&o.ListInterval, ListInterval)
+	setDefault(&o.AbsentWindow, AbsentWindow)
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+// forget lets the caller close its connection to a VM that has gone.
+func (o *Options) forget(address string) {
+	if f, ok := o.Caller.(interface{ Forget(address string) }); ok {
+		f.Forget(address)
+	}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// View implements Reader.
+//
+// Contact with a peer counts from the moment at which a heartbeat that the peer
+// answered was sent. So a peer that counts as heard has itself heard this VM at
+// least as late, also over links that lose one direction, and messages that
+// waited in buffers while this VM was frozen do not look fresh.
+type View struct {
+	o       Options
+	base    time.Time
+	seats   Seats
+	version func() uint64
+	updates []func()
+	leaving atomic.Bool
+
+	attachments []Attachment
+
+	// ownContact is the start of the latest own store call that succeeded.
+	ownContact atomic.Int64
+	snapshot   atomic.Pointer[snapshot]
+
+	mu    sync.Mutex
+	peers map[string]*peerState
+	list  listState
+}
+
+// snapshot is what the path of a request reads.
+type snapshot struct {
+	at          time.Duration
+	peerContact time.Duration // latest store contact known through peers
+	quorumUntil time.Duration
+	peers       []Peer
+}
+
+// New returns a View that has heard nothing.
+func New(o Options) *View {
+	o.setDefaults()
+	v := &View{
+		o:       o,
+		base:    time.Now(),
+		seats:   noSeats{},
+		version: func() uint64 { return 0 },
+		peers:   map[string]*peerState{},
+		list:    newListState(),
+	}
+	v.ownContact.Store(int64(never))
+	v.snapshot.Store(&snapshot{at: never, peerContact: never, quorumUntil: never})
+	return v
+}
+
+// noSeats is used until SetSeats is called.
+type noSeats struct{}
+
+// Leased implements Seats.
+func (noSeats) Leased() []Claim { return nil }
+
+// Occupied implements Seats.
+func (noSeats) Occupied() int { return 0 }
+
+// SetSeats gives the source of seats. It must be called before the start.
+func (v *View) SetSeats(s Seats) { v.seats = s }
+
+// SetConfigVersion gives the source of the version in heartbeats. It must be
+// called before the start.
+func (v *View) SetConfigVersion(f func() uint64) { v.version = f }
+
+// Attach adds data to each heartbeat. It must be called before the start.
+func (v *View) Attach(a Attachment) { v.attachments = append(v.attachments, a) }
+
+// OnUpdate registers a function that is called after each change of what is
+// known. It must be called before the start, and the function must not block.
+func (v *View) OnUpdate(f func()) { v.updates = append(v.updates, f) }
+
+// SetLeaving sets the leaving flag of the heartbeats.
+func (v *View) SetLeaving(leaving bool) { v.leaving.Store(leaving) }
+
+// Register adds the View's handlers.
+func (v *View) Register(r link.Registrar) {
+	r.Handle(KindHeartbeat, v.handleHeartbeat)
+	r.Handle(KindLastHeard, v.handleLastHeard)
+}
+
+// Run reads the list and sends heartbeats until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { v.every(ctx, v.o.ListInterval, func() { v.ReadList(ctx) }) })
+	running.Go(func() {
+		v.every(ctx, v.o.Interval, func() {
+			v.Refresh()
+			v.startBeats(ctx, &running)
+		})
+	})
+	<-ctx.Done()
+	running.Wait()
+}
+
+func (v *View) every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		f()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// Now returns the monotonic time of this VM that the View reckons with.
+func (v *View) Now() time.Duration {
+	if v.o.Now != nil {
+		return v.o.Now()
+	}
+	return time.Since(v.base)
+}
+
+// Self implements Reader.
+func (v *View) Self() Instance { return v.o.Self }
+
+// NoteStoreContact records that the store has just answered. A caller whose
+// call may have waited long uses NoteStoreContactAt.
+func (v *View) NoteStoreContact() { v.NoteStoreContactAt(v.Now()) }
+
+// NoteStoreContactAt records that the store answered a call that was started at
+// a time of Now. An answer read after a long freeze is as old as its call.
+func (v *View) NoteStoreContactAt(started time.Duration) {
+	for {
+		old := v.ownContact.Load()
+		if old >= int64(started) || v.ownContact.CompareAndSwap(old, int64(started)) {
+			return
+		}
+	}
+}
+
+// contact returns the latest store contact known.
+func (v *View) contact() time.Duration {
+	own := time.Duration(v.ownContact.Load())
+	return max(own, v.snapshot.Load().peerContact)
+}
+
+// Verdict implements Reader.
+func (v *View) Verdict() Verdict {
+	contact := v.contact()
+	quorumUntil := v.snapshot.Load().quorumUntil
+	// The clock is read last, so that a freeze between the reads ages them.
+	now := v.Now()
+	switch {
+	case now-contact <= v.o.ContactWindow:
+		return Connected
+	case now <= quorumUntil:
+		return Outage
+	default:
+		return Isolated
+	}
+}
+
+// Quorum implements Reader.
+func (v *View) Quorum() bool {
+	until := v.snapshot.Load().quorumUntil
+	return v.Now() <= until
+}
+
+// QuorumUntil returns the time of Now until which Quorum holds without further
+// news.
+func (v *View) QuorumUntil() time.Duration { return v.snapshot.Load().quorumUntil }
+
+// Peers implements Reader. An instance that was replaced is listed beside its
+// successor.
+func (v *View) Peers() []Peer {
+	s := v.snapshot.Load()
+	if v.Now()-s.at > v.o.Interval {
+		v.Refresh()
+		s = v.snapshot.Load()
+	}
+	return s.peers
+}
--- /dev/null
+++ b/internal/membership/view_test.go
@@ -0,0 +1,233 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/link"
+)
+
+// fixedSeats is a seat source for tests.
+type fixedSeats struct {
+	own      int
+	occupied int
+}
+
+func (f fixedSeats) Leased() []Claim { return []Claim{{Index: f.own, Epoch: 1}} }
+func (f fixedSeats) Occupied() int   { return f.occupied }
+
+// process is a View with real links on loopback and short times.
+type process struct {
+	view   *View
+	server *link.Server
+	client *link.Client
+	stop   func()
+}
+
+// fleet is a list of processes that the Views read.
+type fleet struct {
+	mu   sync.Mutex
+	list []Entry
+}
+
+func (f *fleet) List(context.Context) ([]Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.list), nil
+}
+
+func (f *fleet) remove(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = slices.DeleteFunc(f.list, func(e Entry) bool { return e.PeerAddress == address })
+}
+
+const window = 300 * time.Millisecond
+
+// boot starts a process; attach may be nil.
+func (f *fleet) boot(t *testing.T, address string, startNumber uint64, seat int, attach *Attachment) *process {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	server := link.NewServer(link.Plaintext(), log)
+	client := link.NewClient(link.Plaintext(), log)
+	var view atomic.Pointer[View]
+	server.Handle(KindHeartbeat, func(ctx context.Context, p []byte) (any, error) {
+		return view.Load().handleHeartbeat(ctx, p)
+	})
+	server.Handle(KindLastHeard, func(ctx context.Context, p []byte) (any, error) {
+		return view.Load().handleLastHeard(ctx, p)
+	})
+	address, err := server.Listen(address)
+	assert.NilError(t, err)
+	v := New(Options{
+		Self: Instance{address, startNumber}, Zone: "a", Caller: client, Lister: f,
+		Interval: 30 * time.Millisecond, HeardWindow: window, ContactWindow: window,
+		CallTimeout: 200 * time.Millisecond, ListInterval: 50 * time.Millisecond,
+	})
+	v.SetSeats(fixedSeats{seat, 3})
+	if attach != nil {
+		v.Attach(*attach)
+	}
+	view.Store(v)
+	f.mu.Lock()
+	f.list = append(slices.DeleteFunc(f.list, func(e Entry) bool { return e.PeerAddress == address }), Entry{PeerAddress: address, Zone: "a"})
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); v.Run(ctx) }()
+	p := &process{view: v, server: server, client: client}
+	p.stop = sync.OnceFunc(func() { cancel(); client.Close(); server.Close(); <-done })
+	t.Cleanup(p.stop)
+	return p
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), what)
+	}
+}
+
+// Guards against states, verdicts and attachments that do not follow what the
+// links show.
+func TestFleetOverLoopback(t *testing.T) {
+	var f fleet
+	got := make(chan string, 1000)
+	data := &Attachment{Name: "load", Produce: func() []byte { return []byte("17") },
+		Consume: func(_ Instance, d []byte) { got <- string(d) }}
+	a := f.boot(t, "127.0.0.1:0", 1, 0, data)
+	b := f.boot(t, "127.0.0.1:0", 1, 1, data)
+	c := f.boot(t, "127.0.0.1:0", 1, 2, nil)
+	cSelf := c.view.Self()
+
+	eventually(t, "outage with a quorum", func() bool { return a.view.Quorum() && a.view.Verdict() == Outage })
+	assert.Equal(t, <-got, "17")
+	b.view.NoteStoreContact()
+	eventually(t, "contact passes through a peer", func() bool { return a.view.Verdict() == Connected })
+	eventually(t, "contact ages", func() bool { return a.view.Verdict() == Outage })
+	assert.Equal(t, a.view.StateOf(cSelf), Live)
+	c.view.SetLeaving(true)
+	eventually(t, "leaving", func() bool { return a.view.StateOf(cSelf) == Leaving })
+
+	c.stop()
+	next := f.boot(t, cSelf.Address, 2, 2, nil)
+	eventually(t, "replaced", func() bool { return a.view.StateOf(cSelf) == Replaced })
+	eventually(t, "successor is live", func() bool {
+		return a.view.StateOf(next.view.Self()) == Live && b.view.StateOf(next.view.Self()) == Live
+	})
+	states := map[State]int{}
+	for _, p := range a.view.Peers() {
+		states[p.State]++
+	}
+	assert.DeepEqual(t, states, map[State]int{Live: 2, Replaced: 1})
+
+	next.stop()
+	eventually(t, "silent", func() bool { return a.view.StateOf(next.view.Self()) == Silent })
+	f.remove(cSelf.Address)
+	eventually(t, "gone", func() bool { return a.view.StateOf(next.view.Self()) == Gone })
+	eventually(t, "the other VM has not heard it either", func() bool {
+		answers := a.view.Survey(t.Context(), next.view.Self())
+		return len(answers) == 1 && answers[0].Heard && answers[0].Age >= window
+	})
+	b.stop()
+	eventually(t, "isolated without quorum", func() bool { return a.view.Verdict() == Isolated && !a.view.Quorum() })
+	stats := a.client.Stats()
+	assert.Check(t, stats.MessagesOut > 0 && stats.BytesIn > 0)
+}
+
+// fake is a View with a clock and a peer under the test's control.
+type fake struct {
+	*View
+	now   time.Duration
+	peer  Heartbeat
+	delay time.Duration // time that passes while a heartbeat is answered
+}
+
+func newFake(t *testing.T) *fake {
+	f := &fake{now: time.Hour, peer: Heartbeat{From: Instance{"10.0.0.2:7", 5}, ContactMs: unknownAge, DirectMs: unknownAge}}
+	f.View = New(Options{Self: Instance{"10.0.0.1:7", 1}, Caller: f, Now: func() time.Duration { return f.now },
+		Lister: ListerFunc(func(context.Context) ([]Entry, error) { return []Entry{{PeerAddress: "10.0.0.2:7"}}, nil })})
+	f.SetSeats(fixedSeats{0, 2})
+	f.ReadList(t.Context())
+	return f
+}
+
+// Call implements link.Caller.
+func (f *fake) Call(_ context.Context, _, _ string, _, reply any) error {
+	f.now += f.delay
+	*reply.(*Heartbeat) = f.peer
+	return nil
+}
+
+// Guards against a verdict that takes a late, stale or foreign sign for fresh
+// contact.
+func TestVerdictAges(t *testing.T) {
+	claim := []Claim{{Index: 1, Epoch: 1}}
+	for _, c := range []struct {
+		name  string
+		seats []Claim
+		ms    int64
+		delay time.Duration
+		after time.Duration
+		want  Verdict
+	}{
+		{"fresh contact of a peer", nil, 100, 0, 0, Connected},
+		{"contact ages here", nil, 100, 0, 2901 * time.Millisecond, Isolated},
+		{"old contact of a peer", nil, 3001, 0, 0, Isolated},
+		{"quorum without contact", claim, unknownAge, 0, 0, Outage},
+		{"quorum with old contact", claim, 9000, 0, 3 * time.Second, Outage},
+		{"frozen after the answer", claim, 0, 0, time.Hour, Isolated},
+		{"frozen before the answer", claim, 0, time.Hour, 0, Isolated},
+		{"no quorum", nil, unknownAge, 0, 0, Isolated},
+		{"hostile age", nil, -1 << 62, 0, 0, Isolated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFake(t)
+			f.peer.Seats, f.peer.ContactMs, f.delay = c.seats, c.ms, c.delay
+			f.Beat(t.Context())
+			f.now += c.after
+			assert.Equal(t, f.Verdict(), c.want)
+		})
+	}
+}
+
+// Guards against news from a life of a VM that has ended, and against requests
+// taken for answers: a request may have waited in a buffer.
+func TestLateAndOneWayMessages(t *testing.T) {
+	f := newFake(t)
+	f.peer.Seats = []Claim{{Index: 1, Epoch: 1}}
+	payload, err := msgpack.Marshal(&f.peer)
+	assert.NilError(t, err)
+	_, err = f.handleHeartbeat(t.Context(), payload)
+	assert.NilError(t, err)
+	f.Refresh()
+	assert.Check(t, !f.Quorum(), "a request is no proof that the peer hears this VM")
+	age, ok := f.LastHeard(f.peer.From)
+	assert.Check(t, ok && age == 0)
+
+	f.peer.From.StartNumber = 4
+	f.peer.ContactMs = 0
+	f.Beat(t.Context())
+	assert.Equal(t, f.Verdict(), Isolated)
+	late, err := msgpack.Marshal(&f.peer)
+	assert.NilError(t, err)
+	_, err = f.handleHeartbeat(t.Context(), late)
+	assert.ErrorContains(t, err, "replaced")
+	assert.Equal(t, f.StateOf(f.peer.From), Replaced)
+}
+
+// Guards against locks and allocation on the path of a request.
+func TestVerdictDoesNotAllocate(t *testing.T) {
+	f := newFake(t)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, testing.AllocsPerRun(100, func() { f.Verdict(); f.Quorum() }), 0.0)
+}
