--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,307 @@
+// Package lab runs stand-ins and entry processes inside one process, for
+// experiments, the demo and tests. They talk over loopback TCP as they would
+// between VMs.
+package lab
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/engine"
+	"github.com/oriolefront/oriolefront/internal/resume"
+	"github.com/oriolefront/oriolefront/internal/standin"
+	"github.com/oriolefront/oriolefront/internal/tcp"
+)
+
+// Keys that every lab uses.
+const (
+	AccountKey  = "lab-account-key"
+	OperatorKey = "lab-operator-key"
+	Model       = "catalogue"
+	PlainName   = "lending"
+)
+
+// Options describe a lab. Zero values take the defaults of Defaults.
+type Options struct {
+	Zones   []string
+	Region  string
+	OneWay  time.Duration // delay that is declared between zones
+	Entries int
+	// SettingsChange, if not nil, may alter the settings of each entry process.
+	SettingsChange func(i int, s *EntrySettings)
+	Engines        int
+	Engine         standin.EngineOptions
+	// Plain is the number of targets of the plain service.
+	Plain int
+	// ConfigChange, if not nil, may alter the first configuration.
+	ConfigChange func(c *config.Config)
+	VMListLag    time.Duration
+	Log          *slog.Logger
+}
+
+// Bibliobuz returns the sizes of the mobile library: three zones, 15 engines,
+// 3 lending targets and 6 entry VMs.
+func Bibliobuz() Options {
+	return Options{
+		Zones:   []string{"iasi", "suceava", "bacau"},
+		Region:  "ro-moldova",
+		OneWay:  1500 * time.Microsecond,
+		Entries: 6,
+		Engines: 15,
+		Plain:   3,
+		Engine:  DefaultEngine(),
+		Log:     slog.New(slog.DiscardHandler),
+	}
+}
+
+// Pilbara returns the sizes of the sledge racing association: three zones, 20
+// engines, 3 entries targets and 9 entry VMs.
+func Pilbara() Options {
+	o := Bibliobuz()
+	o.Zones = []string{"a", "b", "c"}
+	o.Region = "wa-west"
+	o.OneWay = 500 * time.Microsecond
+	o.Entries = 9
+	o.Engines = 20
+	return o
+}
+
+// DefaultEngine is an engine whose prefill is slow enough for one machine to
+// load a fleet of them.
+func DefaultEngine() standin.EngineOptions {
+	return standin.EngineOptions{
+		KVTokens:               400_000,
+		PrefillTokensPerSecond: 20_000,
+		DecodeTokensPerSecond:  50,
+		MaxRunning:             32,
+		ColdRunning:            2,
+		ColdTokens:             60_000,
+		ColdFor:                3 * time.Second,
+		LoadLag:                200 * time.Millisecond,
+		CacheEventLag:          200 * time.Millisecond,
+		CacheEventLossEvery:    50,
+		Models:                 []engine.Model{{Name: Model}},
+	}
+}
+
+// Engine is a running engine stand-in.
+type Engine struct {
+	*standin.Engine
+	Name    string
+	Zone    string
+	Address string
+}
+
+// Plain is a running stand-in of a plain service.
+type Plain struct {
+	*standin.Plain
+	Name    string
+	Address string
+}
+
+// Lab is a running set of stand-ins and entry processes.
+type Lab struct {
+	Options Options
+	Engines []*Engine
+	Plains  []*Plain
+	Table   *standin.Table
+	Objects *standin.Objects
+	VMs     *standin.VMs
+	Entries []*Entry
+
+	tableAddress, objectsAddress, vmsAddress string
+
+	resumeKey string
+	ctx       context.Context
+	stop      context.CancelFunc
+	listeners []net.Listener
+}
+
+// Start starts the stand-ins, the entry processes and the first configuration,
+// and returns when all entry processes are ready.
+func Start(ctx context.Context, o Options) (*Lab, error) {
+	l := &Lab{Options: o, resumeKey: hex.EncodeToString(randomBytes(resume.KeyBytes))}
+	l.ctx, l.stop = context.WithCancel(ctx)
+	if err := l.start(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Lab) start() error {
+	if err := l.startStandIns(); err != nil {
+		return err
+	}
+	for i := range l.Options.Entries {
+		if _, err := l.AddEntry(i); err != nil {
+			return err
+		}
+	}
+	if err := l.submitFirst(); err != nil {
+		return err
+	}
+	for _, e := range l.Entries {
+		if err := e.AwaitReady(l.ctx, readyTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const readyTimeout = 30 * time.Second
+
+func (l *Lab) startStandIns() error {
+	var err error
+	l.Table, l.Objects, l.VMs = standin.NewTable(), standin.NewObjects(), standin.NewVMs(l.Options.VMListLag)
+	if l.tableAddress, err = l.serve(l.Table.Handler()); err != nil {
+		return err
+	}
+	if l.objectsAddress, err = l.serve(l.Objects.Handler()); err != nil {
+		return err
+	}
+	if l.vmsAddress, err = l.serve(l.VMs.Handler()); err != nil {
+		return err
+	}
+	for i := range l.Options.Engines {
+		o := l.Options.Engine
+		o.Name = fmt.Sprintf("e%02d", i)
+		e := &Engine{Engine: standin.NewEngine(o), Name: o.Name, Zone: l.Options.Zones[i%len(l.Options.Zones)]}
+		if e.Address, err = l.serve(e.Handler()); err != nil {
+			return err
+		}
+		go e.Run(l.ctx)
+		l.Engines = append(l.Engines, e)
+	}
+	for i := range l.Options.Plain {
+		p := &Plain{Plain: standin.NewPlain(fmt.Sprintf("p%d", i)), Name: fmt.Sprintf("p%d", i)}
+		if p.Address, err = l.serve(p.Handler()); err != nil {
+			return err
+		}
+		l.Plains = append(l.Plains, p)
+	}
+	return nil
+}
+
+// serve serves h on a free loopback port until the lab is closed.
+func (l *Lab) serve(h http.Handler) (string, error) {
+	listener, err := tcp.Listen(l.ctx, "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	l.listeners = append(l.listeners, listener)
+	server := &http.Server{Handler: h, ErrorLog: slog.NewLogLogger(l.Options.Log.Handler(), slog.LevelDebug)}
+	go server.Serve(listener)
+	return listener.Addr().String(), nil
+}
+
+// Close stops everything at once.
+func (l *Lab) Close() {
+	for _, e := range l.Entries {
+		e.Abort()
+	}
+	l.stop()
+	for _, listener := range l.listeners {
+		listener.Close()
+	}
+}
+
+// Config returns the first configuration of the lab.
+func (l *Lab) Config() *config.Config {
+	o := l.Options
+	c := &config.Config{
+		Seats:     max(1, o.Entries),
+		Zones:     map[string]config.Zone{},
+		Links:     map[string]config.Link{},
+		Contracts: map[string]config.Contract{"standard": {Deadline: config.Duration(60 * time.Second), MaxDeadline: config.Duration(10 * time.Minute)}},
+		Accounts:  map[string]config.Account{"lab": {Contract: "standard", KeyHashes: []string{auth.KeyHash(AccountKey)}}},
+		Services:  map[string]config.Service{"lm": {Kind: config.ModelService}},
+		Targets:   map[string]config.Target{},
+		Routes:    map[string]config.Route{"lm": {Model: Model, Service: "lm"}},
+		WaitRules: map[string]config.WaitRule{
+			"1-archives": {MinPromptTokens: 32_000, Class: config.ClassBatch},
+			"2-medium":   {MinPromptTokens: 4_000, Class: config.ClassStandard},
+			"3-short":    {Class: config.ClassInteractive},
+		},
+	}
+	l.declareZones(c)
+	for _, e := range l.Engines {
+		c.Targets[e.Name] = DeclareEngine(o.Engine, e.Zone, e.Address)
+	}
+	if len(l.Plains) > 0 {
+		c.Services[PlainName] = config.Service{Kind: config.PlainService}
+		c.Routes[PlainName] = config.Route{Model: PlainName, Service: PlainName}
+	}
+	for i, p := range l.Plains {
+		c.Targets[p.Name] = config.Target{Service: PlainName, Zone: o.Zones[i%len(o.Zones)], Address: p.Address, MaxRunning: 64}
+	}
+	c.ApplyDefaults()
+	if o.ConfigChange != nil {
+		o.ConfigChange(c)
+	}
+	return c
+}
+
+func (l *Lab) declareZones(c *config.Config) {
+	for i, from := range l.Options.Zones {
+		c.Zones[from] = config.Zone{Region: l.Options.Region}
+		for _, to := range l.Options.Zones[i+1:] {
+			c.Links[from+"-"+to] = config.Link{From: from, To: to, OneWay: config.Duration(l.Options.OneWay)}
+		}
+	}
+}
+
+// DeclareEngine returns the declaration of an engine stand-in.
+func DeclareEngine(o standin.EngineOptions, zone, address string) config.Target {
+	return config.Target{
+		Service:                "lm",
+		Zone:                   zone,
+		Address:                address,
+		Models:                 []string{Model},
+		KVTokens:               o.KVTokens,
+		PrefillTokensPerSecond: o.PrefillTokensPerSecond,
+		DecodeTokensPerSecond:  o.DecodeTokensPerSecond,
+		MaxRunning:             o.MaxRunning,
+		ColdRunning:            o.ColdRunning,
+		ColdTokens:             o.ColdTokens,
+		ChecksFencing:          o.ChecksFencing,
+	}
+}
+
+// CallerAddresses returns where callers reach the running entry processes.
+func (l *Lab) CallerAddresses() []string {
+	var addresses []string
+	for _, e := range l.Entries {
+		if !e.stopped.Load() {
+			addresses = append(addresses, e.Settings.Listen.Callers)
+		}
+	}
+	return addresses
+}
+
+var errNoEntry = errors.New("no entry process is running")
+
+func randomBytes(n int) []byte {
+	b := make([]byte, n)
+	rand.Read(b)
+	return b
+}
+
+// freeAddress returns a loopback address that nobody listens on at present.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
