Add patches, their rules and the hash chain of the configuration

Cause: operators change the configuration by patches against a version, and a VM must be able to prove that what a peer sends is what the store has.

Objects are kept as declared, so fields and kinds of a newer program version survive; a patch that would drop them is refused.

Conclusion: seats and shares-per-target change only while no target may get work; limits of a contract do not fall while an account keeps it.

--- /dev/null
+++ b/internal/config/chain.go
@@ -0,0 +1,181 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+)
+
+// SnapshotInterval is the number of versions between snapshots. The record of
+// each such version carries a digest of the whole configuration, so that the
+// hash chain proves a snapshot too.
+const SnapshotInterval = 100
+
+// Record is an accepted patch as it is stored. The hash chain covers its bytes
+// as stored, so fields of a newer program version take part in it.
+type Record struct {
+	Version uint64 `json:"version"`
+	// AcceptedMillis is the Unix time of acceptance in milliseconds.
+	AcceptedMillis int64 `json:"accepted_unix_ms"`
+	// State is the digest of the objects at a version with a snapshot.
+	State string          `json:"state,omitempty"`
+	Patch json.RawMessage `json:"patch"`
+}
+
+// Empty returns version 0: no patch accepted, nothing declared.
+func Empty() *Config {
+	c := &Config{docs: map[string]json.RawMessage{}}
+	c.ApplyDefaults()
+	return c
+}
+
+// Chain returns the hash of a version from that of the version before and the
+// stored bytes of its record.
+func Chain(previous string, record []byte) string {
+	sum := sha256.Sum256(append([]byte(previous+"\n"), record...))
+	return hex.EncodeToString(sum[:])
+}
+
+// DecodeRecord decodes a stored record and the patch in it. Unknown fields are
+// left alone, because a newer program version may have accepted the patch.
+func DecodeRecord(data []byte) (Record, Patch, error) {
+	var r Record
+	var p Patch
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, p, Problem{Key: "(record)", Found: err.Error(), Allowed: "a record of an accepted patch"}
+	}
+	if err := json.Unmarshal(r.Patch, &p); err != nil {
+		return r, p, Problem{Key: "patch", Found: err.Error(), Allowed: "a patch"}
+	}
+	return r, p, nil
+}
+
+// Accept checks a submitted patch against base and returns the record to store
+// and the configuration that results.
+func Accept(base *Config, p Patch, now time.Time) ([]byte, *Config, error) {
+	next, err := Apply(base, p)
+	if err != nil {
+		return nil, nil, err
+	}
+	encoded, err := p.Encode()
+	if err != nil {
+		return nil, nil, err
+	}
+	r := Record{Version: base.Version + 1, AcceptedMillis: now.UnixMilli(), Patch: encoded}
+	if r.Version%SnapshotInterval == 0 {
+		r.State = next.digest()
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	next.Version = r.Version
+	next.Hash = Chain(base.Hash, data)
+	return data, next, nil
+}
+
+// Replay applies a record that was accepted before. It does not validate the
+// result, because program versions may have different rules and every VM must
+// follow what was accepted. Unknown fields and kinds are kept.
+func Replay(base *Config, data []byte) (*Config, error) {
+	r, p, err := DecodeRecord(data)
+	if err != nil {
+		return nil, err
+	}
+	if r.Version != base.Version+1 || p.Base != base.Version {
+		return nil, Problem{Key: "version", Found: fmt.Sprintf("%d against base %d", r.Version, p.Base), Allowed: fmt.Sprintf("%d against base %d", base.Version+1, base.Version)}
+	}
+	next, err := change(base, p.Operations)
+	if err != nil {
+		return nil, err
+	}
+	if r.State != "" && r.State != next.digest() {
+		return nil, Problem{Key: "state", Found: next.digest(), Allowed: r.State}
+	}
+	next.Version = r.Version
+	next.Hash = Chain(base.Hash, data)
+	return next, nil
+}
+
+// digest covers all documents in the order of their keys.
+func (c *Config) digest() string {
+	h := sha256.New()
+	docs := c.documents()
+	for _, key := range sortedKeys(docs) {
+		for _, part := range [][]byte{[]byte(key), docs[key]} {
+			h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+			h.Write(part)
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Document is a whole configuration in JSON, as operators get it.
+type Document struct {
+	Version uint64                     `json:"version"`
+	Hash    string                     `json:"hash"`
+	Objects map[string]json.RawMessage `json:"objects"`
+}
+
+// Document returns c with every field that was declared, known or not.
+func (c *Config) Document() Document {
+	return Document{Version: c.Version, Hash: c.Hash, Objects: c.documents()}
+}
+
+// Config rebuilds the configuration of which d was made. Unknown fields are
+// kept.
+func (d Document) Config() (*Config, error) {
+	operations := make([]Operation, 0, len(d.Objects))
+	for _, key := range sortedKeys(d.Objects) {
+		operations = append(operations, Operation{Action: Put, Key: key, Value: d.Objects[key]})
+	}
+	c, err := change(Empty(), operations)
+	if err != nil {
+		return nil, err
+	}
+	c.Version, c.Hash = d.Version, d.Hash
+	return c, nil
+}
+
+// Snapshot is a configuration with what proves it: its own record and the hash
+// of the version before.
+type Snapshot struct {
+	Previous string                     `json:"previous"`
+	Record   []byte                     `json:"record"`
+	Objects  map[string]json.RawMessage `json:"objects"`
+}
+
+// NewSnapshot returns the snapshot of c. Its version must be a multiple of
+// SnapshotInterval.
+func NewSnapshot(c *Config, previous string, record []byte) Snapshot {
+	return Snapshot{Previous: previous, Record: record, Objects: maps.Clone(c.documents())}
+}
+
+// DecodeSnapshot decodes a snapshot and checks its objects against its record.
+// The caller checks the hash of the result against one it trusts.
+func DecodeSnapshot(data []byte) (Snapshot, *Config, error) {
+	var s Snapshot
+	data, err := canonical(data)
+	if err != nil {
+		return s, nil, Problem{Key: "(snapshot)", Found: err.Error(), Allowed: "one JSON object without repeated keys"}
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, nil, Problem{Key: "(snapshot)", Found: err.Error(), Allowed: "a snapshot"}
+	}
+	r, _, err := DecodeRecord(s.Record)
+	if err != nil {
+		return s, nil, err
+	}
+	c, err := Document{Version: r.Version, Hash: Chain(s.Previous, s.Record), Objects: s.Objects}.Config()
+	if err != nil {
+		return s, nil, err
+	}
+	if r.State == "" || r.State != c.digest() {
+		return s, nil, Problem{Key: "state", Found: c.digest(), Allowed: r.State}
+	}
+	return s, c, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 package config
 
 import (
+	"encoding/json"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 type Config struct {
 	// Version is the number of patches accepted so far. Default 0: empty.
 	Version uint64 `json:"version" toml:"-"`
+	// Hash is the hash chain over all patches up to Version; see Chain.
+	Hash string `json:"hash" toml:"-"`
 	// Seats is the number of capacity shares among entry VMs. Default 9.
 	Seats int `json:"seats" toml:"seats"`
 	// SharesPerTarget is the number of seats that share one target. Default:
@@ -50,6 +53,13 @@
 	Targets         map[string]Target   `json:"targets" toml:"target"`
 	Routes          map[string]Route    `json:"routes" toml:"route"`
 	WaitRules       map[string]WaitRule `json:"wait_rules" toml:"wait-rule"`
+
+	// docs holds every object as it was declared; see documents. It is nil in
+	// a configuration that does not come from patches.
+	docs map[string]json.RawMessage
+	// newer holds the unknown fields of objects that a newer program version
+	// declared, by key. It is nil if there are none.
+	newer map[string][]string
 }
 
 // Zone is a data centre.
--- /dev/null
+++ b/internal/config/patch.go
@@ -0,0 +1,330 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Action is what an operation does.
+type Action string
+
+// The actions.
+const (
+	Put    Action = "put"
+	Delete Action = "delete"
+)
+
+// MaxPatchBytes bounds an encoded patch, because it is one row of the table.
+const MaxPatchBytes = 1 << 20
+
+// Operation puts or deletes one declared object or scalar.
+type Operation struct {
+	Action Action `json:"action"`
+	// Key is kind/name, such as target/e1, or the name of a scalar.
+	Key string `json:"key"`
+	// Value is the whole object of a put.
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+// Patch is a change of the configuration against one version.
+type Patch struct {
+	ID         string      `json:"id"`
+	Base       uint64      `json:"base"`
+	Submitter  string      `json:"submitter"`
+	Operations []Operation `json:"operations"`
+}
+
+var (
+	namePattern     = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+	patchFields     = jsonFields(reflect.TypeFor[Patch]())
+	operationFields = jsonFields(reflect.TypeFor[Operation]())
+)
+
+const nameAllowed = "1 to 64 letters, digits, dots, underscores or hyphens"
+
+// ValidName reports whether s can be the id of a patch or the name of an
+// object.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
+// DecodePatch decodes a submitted patch strictly: it refuses every field that
+// this program does not know.
+func DecodePatch(data []byte) (Patch, error) {
+	var p Patch
+	if len(data) > MaxPatchBytes {
+		return p, Problem{Key: "(patch)", Found: fmt.Sprintf("%d bytes", len(data)), Allowed: fmt.Sprintf("at most %d bytes", MaxPatchBytes)}
+	}
+	data, err := canonical(data)
+	if err != nil {
+		return p, Problem{Key: "(patch)", Found: err.Error(), Allowed: "one JSON object without repeated keys"}
+	}
+	if err := refuseUnknown("(patch)", data, patchFields); err != nil {
+		return p, err
+	}
+	var parts struct {
+		Operations []json.RawMessage `json:"operations"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return p, Problem{Key: "operations", Found: err.Error(), Allowed: "a list of operations"}
+	}
+	for i, operation := range parts.Operations {
+		if err := refuseUnknown(fmt.Sprintf("operations[%d]", i), operation, operationFields); err != nil {
+			return p, err
+		}
+	}
+	if err := json.Unmarshal(data, &p); err != nil {
+		return p, Problem{Key: "(patch)", Found: err.Error(), Allowed: "fields of the documented types"}
+	}
+	return p, nil
+}
+
+func refuseUnknown(key string, data []byte, known map[string]bool) error {
+	_, unknown, err := splitFields(data, known)
+	if err != nil {
+		return Problem{Key: key, Found: err.Error(), Allowed: "a JSON object"}
+	}
+	if len(unknown) > 0 {
+		return Problem{Key: key + "." + unknown[0], Found: "unknown field", Allowed: strings.Join(sortedKeys(known), ", ")}
+	}
+	return nil
+}
+
+// Encode returns the canonical encoding of p.
+func (p Patch) Encode() ([]byte, error) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, Problem{Key: "(patch)", Found: err.Error(), Allowed: "values in JSON"}
+	}
+	return canonical(data)
+}
+
+// Digest identifies the content of p: two patches with one id and different
+// digests are different patches.
+func (p Patch) Digest() (string, error) {
+	data, err := p.Encode()
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// Keys returns the keys of the operations of p.
+func (p Patch) Keys() []string {
+	keys := make([]string, len(p.Operations))
+	for i, o := range p.Operations {
+		keys[i] = o.Key
+	}
+	return keys
+}
+
+// Apply returns the configuration that a submitted patch makes of base, or the
+// problems for which it is refused. Only the maps of the kinds that p touches
+// are copied. The version and the hash of the result are those of base.
+func Apply(base *Config, p Patch) (*Config, error) {
+	if problems := checkPatch(base, p); len(problems) > 0 {
+		return nil, problems
+	}
+	next, err := change(base, p.Operations)
+	if err != nil {
+		return nil, err
+	}
+	problems := checkInUse(base, next, p.Operations)
+	problems = append(problems, checkSeats(base, next)...)
+	problems = append(problems, checkPromises(base, next)...)
+	problems = append(problems, next.Validate()...)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return next, nil
+}
+
+// checkPatch checks what can be said of p without its result.
+func checkPatch(base *Config, p Patch) Problems {
+	v := &validator{}
+	v.require(ValidName(p.ID), "id", p.ID, nameAllowed)
+	v.require(p.Submitter != "", "submitter", "", "the name of an operator")
+	v.require(p.Base == base.Version, "base", fmt.Sprint(p.Base), fmt.Sprint(base.Version))
+	v.require(len(p.Operations) > 0, "operations", "[]", "at least one operation")
+	seen := map[string]bool{}
+	for _, o := range p.Operations {
+		v.require(!seen[o.Key], o.Key, "two operations", "one operation for each key")
+		seen[o.Key] = true
+		checkOperation(v, base, o)
+	}
+	return v.problems
+}
+
+func checkOperation(v *validator, base *Config, o Operation) {
+	v.require(o.Action == Put || o.Action == Delete, o.Key, string(o.Action), `action "put" or "delete"`)
+	v.require(o.Action == Put || len(o.Value) == 0, o.Key, "a value", "no value in a delete")
+	if isScalar(o.Key) {
+		checkScalar(v, o)
+		return
+	}
+	kindName, name, _ := strings.Cut(o.Key, "/")
+	k, known := kinds[kindName]
+	if !known {
+		v.require(false, o.Key, kindName, "a key "+KeySeats+", "+KeySharesPerTarget+" or kind/name with a kind of "+strings.Join(Kinds(), ", "))
+		return
+	}
+	v.require(ValidName(name), o.Key, name, "a name of "+nameAllowed)
+	checkUnknown(v, base, o)
+	if o.Action == Delete {
+		v.require(k.get(base, name) != nil, o.Key, "not declared", "a declared object to delete")
+		return
+	}
+	if _, err := canonical(o.Value); err != nil {
+		v.require(false, o.Key, err.Error(), "one JSON object without repeated keys")
+		return
+	}
+	if err := refuseUnknown(o.Key, o.Value, k.fields); err != nil {
+		v.problems = append(v.problems, err.(Problem))
+	}
+}
+
+func checkScalar(v *validator, o Operation) {
+	n, err := strconv.Atoi(string(bytes.TrimSpace(o.Value)))
+	v.require(o.Action == Delete || (err == nil && n > 0), o.Key, string(o.Value), "a whole number above 0")
+}
+
+// checkUnknown refuses to replace an object that has fields of a newer program
+// version, which would drop them, and to delete anything while there are such
+// fields, because they may refer to the deleted object.
+func checkUnknown(v *validator, base *Config, o Operation) {
+	const remedy = "a patch submitted through a VM and an oriolectl of the newer program version"
+	if o.Action == Put {
+		unknown := base.newer[o.Key]
+		v.require(len(unknown) == 0, o.Key, "declared with unknown fields "+strings.Join(unknown, ", "), remedy)
+		return
+	}
+	for _, key := range sortedKeys(base.newer) {
+		v.require(false, o.Key, "a delete while "+key+" has unknown fields "+strings.Join(base.newer[key], ", "), remedy)
+		return
+	}
+}
+
+// change applies operations. Fields and kinds that this program does not know
+// are kept in the documents.
+func change(base *Config, operations []Operation) (*Config, error) {
+	next := *base
+	next.docs = maps.Clone(base.documents())
+	next.newer = maps.Clone(base.newer)
+	cloned := map[string]bool{}
+	for _, o := range operations {
+		kindName, name, _ := strings.Cut(o.Key, "/")
+		k, known := kinds[kindName]
+		if known && !cloned[kindName] {
+			k.clone(&next)
+			cloned[kindName] = true
+		}
+		if err := next.changeOne(o, k, name); err != nil {
+			return nil, Problem{Key: o.Key, Found: err.Error(), Allowed: "an object with fields of the documented types"}
+		}
+	}
+	return &next, next.readScalars()
+}
+
+// changeOne applies one operation; k is the zero kind if it is unknown.
+func (c *Config) changeOne(o Operation, k kind, name string) error {
+	delete(c.newer, o.Key)
+	if o.Action == Delete {
+		delete(c.docs, o.Key)
+		if k.remove != nil {
+			k.remove(c, name)
+		}
+		return nil
+	}
+	if o.Action != Put {
+		return fmt.Errorf("unknown action %q", o.Action)
+	}
+	value, err := canonical(o.Value)
+	if err != nil {
+		return err
+	}
+	c.docs[o.Key] = value
+	if k.put == nil {
+		if !isScalar(o.Key) {
+			c.noteNewer(o.Key, "(kind)")
+		}
+		return nil
+	}
+	kept, unknown, err := splitFields(value, k.fields)
+	if err != nil {
+		return err
+	}
+	if len(unknown) > 0 {
+		c.noteNewer(o.Key, unknown...)
+	}
+	return k.put(c, name, kept)
+}
+
+func (c *Config) noteNewer(key string, fields ...string) {
+	if c.newer == nil {
+		c.newer = map[string][]string{}
+	}
+	c.newer[key] = fields
+}
+
+// readScalars sets the scalars from the documents, or else to their defaults.
+func (c *Config) readScalars() error {
+	c.Seats, c.SharesPerTarget = 0, 0
+	for key, field := range map[string]*int{KeySeats: &c.Seats, KeySharesPerTarget: &c.SharesPerTarget} {
+		value, ok := c.docs[key]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(value, field); err != nil {
+			return Problem{Key: key, Found: string(value), Allowed: "a whole number above 0"}
+		}
+	}
+	if c.Seats == 0 {
+		c.Seats = DefaultSeats
+	}
+	if c.SharesPerTarget == 0 {
+		c.SharesPerTarget = min(c.Seats, DefaultMaxSharesPerTarget)
+	}
+	return nil
+}
+
+// Diff returns the operations that turn from into to, sorted by key. Defaults
+// that are written out and defaults that are left out are equal.
+func Diff(from, to *Config) []Operation {
+	var out []Operation
+	for _, kindName := range Kinds() {
+		out = append(out, diffKind(kinds[kindName], kindName, from, to)...)
+	}
+	if from.Seats != to.Seats {
+		out = append(out, Operation{Action: Put, Key: KeySeats, Value: encodeValue(to.Seats)})
+	}
+	if from.SharesPerTarget != to.SharesPerTarget {
+		out = append(out, Operation{Action: Put, Key: KeySharesPerTarget, Value: encodeValue(to.SharesPerTarget)})
+	}
+	return out
+}
+
+func diffKind(k kind, kindName string, from, to *Config) []Operation {
+	names := map[string]bool{}
+	for _, name := range append(k.names(from), k.names(to)...) {
+		names[name] = true
+	}
+	var out []Operation
+	for _, name := range sortedKeys(names) {
+		before, after := k.get(from, name), k.get(to, name)
+		key := kindName + "/" + name
+		switch {
+		case after == nil:
+			out = append(out, Operation{Action: Delete, Key: key})
+		case before == nil || !bytes.Equal(encodeValue(before), encodeValue(after)):
+			out = append(out, Operation{Action: Put, Key: key, Value: encodeValue(after)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/config/rules.go
@@ -0,0 +1,124 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// checkInUse refuses to delete an object that others refer to.
+func checkInUse(base, next *Config, operations []Operation) Problems {
+	v := &validator{}
+	for _, o := range operations {
+		if o.Action != Delete || isScalar(o.Key) {
+			continue
+		}
+		users := next.users(o.Key)
+		v.require(len(users) == 0, o.Key, "a delete while used by "+strings.Join(users, ", "), "a delete after these are deleted or refer to another object")
+	}
+	return v.problems
+}
+
+// users returns the keys of the objects that refer to key, sorted.
+func (c *Config) users(key string) []string {
+	var users []string
+	add := func(kind, name string, refers ...string) {
+		if slices.Contains(refers, key) {
+			users = append(users, kind+"/"+name)
+		}
+	}
+	for name, t := range c.Targets {
+		add("target", name, "zone/"+t.Zone, "service/"+t.Service)
+	}
+	for name, l := range c.Links {
+		add("link", name, "zone/"+l.From, "zone/"+l.To)
+	}
+	for name, a := range c.Accounts {
+		add("account", name, "contract/"+a.Contract)
+	}
+	for name, w := range c.WaitRules {
+		add("wait-rule", name, "account/"+w.Account)
+	}
+	for name, r := range c.Routes {
+		refers := []string{"service/" + r.Service}
+		for _, a := range r.Accounts {
+			refers = append(refers, "account/"+a)
+		}
+		add("route", name, refers...)
+	}
+	slices.Sort(users)
+	return users
+}
+
+// checkSeats refuses to change the numbers that shares are computed from while
+// a target may get work. VMs learn of a version at different times; two that
+// compute with different numbers can together exceed the bound of a target.
+// It cannot see requests that still run from before: operators wait for them
+// (docs/configuration.md).
+func checkSeats(base, next *Config) Problems {
+	v := &validator{}
+	if base.Seats == next.Seats && base.SharesPerTarget == next.SharesPerTarget {
+		return nil
+	}
+	key, found := KeySeats, next.Seats
+	if base.Seats == next.Seats {
+		key, found = KeySharesPerTarget, next.SharesPerTarget
+	}
+	for _, c := range []*Config{base, next} {
+		working := c.workingTargets()
+		v.require(len(working) == 0, key, fmt.Sprintf("%d while %s may get work", found, strings.Join(working, ", ")),
+			"a change while every target is leaving or in a zone out of service, before and after the patch")
+		if len(working) > 0 {
+			break
+		}
+	}
+	return v.problems
+}
+
+func (c *Config) workingTargets() []string {
+	var working []string
+	for _, name := range sortedKeys(c.Targets) {
+		t := c.Targets[name]
+		if !t.Leaving && !c.Zones[t.Zone].OutOfService {
+			working = append(working, "target/"+name)
+		}
+	}
+	return working
+}
+
+// checkPromises refuses to lower what a contract grants while an account has
+// it before and after the patch. A smaller promise is a new contract, to which
+// accounts are moved one by one.
+func checkPromises(base, next *Config) Problems {
+	v := &validator{}
+	holders := map[string]string{}
+	for name, a := range base.Accounts {
+		if next.Accounts[name].Contract == a.Contract {
+			holders[a.Contract] = name
+		}
+	}
+	for _, name := range sortedKeys(holders) {
+		before, ok := base.Contracts[name]
+		after, still := next.Contracts[name]
+		if !ok || !still {
+			continue // reported as a dangling reference
+		}
+		key, holder := "contract/"+name, holders[name]
+		requireLimit(v, key+".requests_per_second", holder, before.RequestsPerSecond, after.RequestsPerSecond)
+		requireLimit(v, key+".tokens_per_second", holder, before.TokensPerSecond, after.TokensPerSecond)
+		requireLimit(v, key+".max_concurrent", holder, float64(before.MaxConcurrent), float64(after.MaxConcurrent))
+		v.require(after.MaxDeadline >= before.MaxDeadline, key+".max_deadline", after.MaxDeadline.Std().String(),
+			fmt.Sprintf("at least %s, as account/%s was promised; or another contract", before.MaxDeadline.Std(), holder))
+	}
+	return v.problems
+}
+
+// requireLimit compares limits of which 0 means unlimited.
+func requireLimit(v *validator, key, holder string, before, after float64) {
+	lower := after != 0 && (before == 0 || after < before)
+	promised := fmt.Sprint(before)
+	if before == 0 {
+		promised = "0 (unlimited)"
+	}
+	v.require(!lower, key, fmt.Sprint(after), fmt.Sprintf("at least %s, as account/%s was promised; or another contract", promised, holder))
+}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -76,34 +76,46 @@
 		c.SharesPerTarget = min(c.Seats, DefaultMaxSharesPerTarget)
 	}
 	for name, k := range c.Contracts {
-		if k.Deadline == 0 {
-			k.Deadline = DefaultDeadline
-		}
-		if k.MaxDeadline == 0 {
-			k.MaxDeadline = max(DefaultMaxDeadline, k.Deadline)
-		}
-		if k.Weight == 0 {
-			k.Weight = DefaultWeight
-		}
+		k.complete()
 		c.Contracts[name] = k
 	}
 	for name, t := range c.Targets {
-		if t.ColdRunning == 0 {
-			t.ColdRunning = DefaultColdRunning
-		}
-		if t.ColdTokens == 0 {
-			t.ColdTokens = t.KVTokens
-		}
+		t.complete()
 		c.Targets[name] = t
 	}
 	for name, s := range c.Services {
-		if s.Kind == PlainService && len(s.IdempotentMethods) == 0 {
-			s.IdempotentMethods = []string{"GET", "HEAD"}
-		}
+		s.complete()
 		c.Services[name] = s
 	}
 }
 
+func (k *Contract) complete() {
+	if k.Deadline == 0 {
+		k.Deadline = DefaultDeadline
+	}
+	if k.MaxDeadline == 0 {
+		k.MaxDeadline = max(DefaultMaxDeadline, k.Deadline)
+	}
+	if k.Weight == 0 {
+		k.Weight = DefaultWeight
+	}
+}
+
+func (t *Target) complete() {
+	if t.ColdRunning == 0 {
+		t.ColdRunning = DefaultColdRunning
+	}
+	if t.ColdTokens == 0 {
+		t.ColdTokens = t.KVTokens
+	}
+}
+
+func (s *Service) complete() {
+	if s.Kind == PlainService && len(s.IdempotentMethods) == 0 {
+		s.IdempotentMethods = []string{"GET", "HEAD"}
+	}
+}
+
 // validator collects problems.
 type validator struct{ problems Problems }
 
