Add the synchronisation of the configuration between VMs

Cause: a patch must be accepted once, its verdict must be true after lost answers, and every VM must have the version within seconds, also when the store goes down right after the acceptance.

A refusal is only what can never change (old base, id of another patch), so it is not stored; everything else is "not run" or "outcome unknown". The id is read again after the head before a refusal. Heartbeats make a VM ask peers only, so a faulty peer costs the store no reads.

Conclusion: 50 operators race for 200 versions over 5 VMs with lost answers, late transactions and killed submitters; a state-machine test draws sequences of faults.

--- /dev/null
+++ b/internal/confsync/compact.go
@@ -0,0 +1,76 @@
+package confsync
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/oriolefront/oriolefront/internal/store"
+)
+
+// deletedRows bounds the rows that one transaction of compaction deletes.
+const deletedRows = 100
+
+// compact writes the last snapshot and deletes what the last two snapshots
+// replace. Every VM can do it and every step can be repeated: a snapshot of a
+// version has the same bytes whoever writes it, and the compaction row makes
+// one VM win. VMs take part at random so that about one tries at each poll.
+func (s *Syncer) compact(ctx context.Context, h headRows) {
+	if rand.IntN(max(1, s.o.HeldSeats())) != 0 {
+		return
+	}
+	st := s.current()
+	if st == nil || s.Ready() != nil {
+		return
+	}
+	c := h.compaction
+	var err error
+	switch {
+	case c.Deleted < c.Previous:
+		err = s.deleteRecords(ctx, c, h.compactionRevision)
+	case st.checkpoint != nil && st.checkpoint.config.Version > c.Snapshot && h.head.Version >= st.checkpoint.config.Version:
+		err = s.writeSnapshot(ctx, st.checkpoint, c, h.compactionRevision)
+	}
+	if err != nil {
+		s.o.Log.Warn("compaction of the configuration not complete", "error", err)
+	}
+}
+
+// writeSnapshot writes the object before the row that refers to it.
+func (s *Syncer) writeSnapshot(ctx context.Context, p *checkpoint, c compaction, revision uint64) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version := p.config.Version
+	if err := s.o.Objects.Put(call, objectName(version), p.encoded()); err != nil {
+		return err
+	}
+	next := compaction{Snapshot: version, Previous: c.Snapshot, Deleted: c.Deleted}
+	_, err := s.commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: keyCompaction, Revision: revision}},
+		Ops:        []store.Op{{Key: keyCompaction, Value: encode(next)}},
+	})
+	if err != nil {
+		return err
+	}
+	s.o.Log.Info("configuration snapshot written", "version", version)
+	if c.Previous > 0 {
+		return s.o.Objects.Delete(call, objectName(c.Previous))
+	}
+	return nil
+}
+
+// deleteRecords deletes patches that the older snapshot contains. The rows of
+// patch ids stay, so that a repeat gets its verdict at any time.
+func (s *Syncer) deleteRecords(ctx context.Context, c compaction, revision uint64) error {
+	next := c
+	var ops []store.Op
+	for next.Deleted < c.Previous && len(ops) < deletedRows {
+		next.Deleted++
+		ops = append(ops, store.Op{Key: patchKey(next.Deleted), Delete: true})
+	}
+	ops = append(ops, store.Op{Key: keyCompaction, Value: encode(next)})
+	_, err := s.commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: keyCompaction, Revision: revision}},
+		Ops:        ops,
+	})
+	return err
+}
--- /dev/null
+++ b/internal/confsync/fleet_test.go
@@ -0,0 +1,241 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/store/storefake"
+)
+
+// fleet is several Syncers on one store, joined by links in memory.
+type fleet struct {
+	t       testing.TB
+	table   store.Table
+	fake    *storefake.Table
+	objects *storefake.Objects
+	noVotes atomic.Bool
+
+	mu       sync.Mutex
+	vms      map[string]*vm
+	spoil    func(*fetchReply) // changes what peers answer
+	maxReply int
+}
+
+type vm struct {
+	*Syncer
+	address string
+	holder  *config.Holder
+	handler link.Handler
+	fleet   *fleet
+	cut     atomic.Bool
+}
+
+func newFleet(t testing.TB) *fleet {
+	fake := storefake.NewTable()
+	return &fleet{t: t, table: fake, fake: fake, objects: storefake.NewObjects(), vms: map[string]*vm{}}
+}
+
+// add makes a VM that does nothing by itself.
+func (f *fleet) add(table store.Table) *vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := &vm{address: fmt.Sprintf("127.0.0.1:%d", len(f.vms)+1), holder: &config.Holder{}, fleet: f}
+	v.Syncer = New(Options{
+		Table: table, Objects: f.objects, Holder: v.holder, Caller: v,
+		Quorum: func() bool { return !f.noVotes.Load() }, Peers: v.peers, HeldSeats: func() int { return 1 },
+		StoreContact: func() {}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
+		Interval: 20 * time.Millisecond,
+	})
+	v.Register(v)
+	f.vms[v.address] = v
+	return v
+}
+
+// run starts VMs and exchanges heartbeats among all until the test ends.
+func (f *fleet) run(vms ...*vm) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	f.t.Cleanup(func() { cancel(); wg.Wait() })
+	for _, v := range vms {
+		wg.Go(func() { v.Run(ctx) })
+		wg.Go(func() {
+			for pause(ctx, 10*time.Millisecond) {
+				v.beat()
+			}
+		})
+	}
+}
+
+// beat sends one heartbeat of v to all others.
+func (v *vm) beat() {
+	data := v.Attachment().Produce()
+	for _, p := range v.peers() {
+		other := v.fleet.get(p.Instance.Address)
+		if data != nil && !v.cut.Load() && !other.cut.Load() {
+			other.Attachment().Consume(membership.Instance{Address: v.address}, data)
+		}
+	}
+}
+
+func (f *fleet) get(address string) *vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[address]
+}
+
+func (v *vm) Handle(_ string, h link.Handler) { v.handler = h }
+
+func (v *vm) peers() []membership.Peer {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	var peers []membership.Peer
+	for address := range v.fleet.vms {
+		if address != v.address {
+			peers = append(peers, membership.Peer{Instance: membership.Instance{Address: address}, State: membership.Live})
+		}
+	}
+	return peers
+}
+
+// Call implements link.Caller.
+func (v *vm) Call(ctx context.Context, address, _ string, request, reply any) error {
+	other := v.fleet.get(address)
+	if v.cut.Load() || other.cut.Load() {
+		return fmt.Errorf("no connection to %s", address)
+	}
+	payload, err := msgpack.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := other.handler(ctx, payload)
+	if err != nil {
+		return err
+	}
+	r := answer.(fetchReply)
+	data, err := msgpack.Marshal(r)
+	if err != nil {
+		return err
+	}
+	v.fleet.mu.Lock()
+	v.fleet.maxReply = max(v.fleet.maxReply, len(data))
+	spoil := v.fleet.spoil
+	v.fleet.mu.Unlock()
+	if err := msgpack.Unmarshal(data, reply); err != nil {
+		return err
+	}
+	if spoil != nil {
+		spoil(reply.(*fetchReply))
+	}
+	return nil
+}
+
+func zonePatch(id string, base uint64, zone, region string) config.Patch {
+	value := fmt.Appendf(nil, `{"region":%q}`, region)
+	return config.Patch{ID: id, Base: base, Submitter: "ana", Operations: []config.Operation{{Action: config.Put, Key: "zone/" + zone, Value: value}}}
+}
+
+// grow submits n patches.
+func (v *vm) grow(n int) {
+	v.fleet.t.Helper()
+	for range n {
+		base := v.Head().Version
+		got, err := v.Submit(context.Background(), zonePatch(fmt.Sprint("g", base), base, fmt.Sprint("z", base%50), fmt.Sprint("r", base)))
+		assert.NilError(v.fleet.t, err)
+		assert.Equal(v.fleet.t, got.Result, Accepted, got.Reason)
+	}
+}
+
+// await waits until all VMs have a head, and fails after 5 s.
+func (f *fleet) await(head Head, vms ...*vm) {
+	f.t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for _, v := range vms {
+		for v.Head() != head {
+			if time.Now().After(deadline) {
+				f.t.Fatalf("%s has %v (%v), want %v", v.address, v.Head(), v.Ready(), head)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.NilError(f.t, v.Ready())
+		assert.Equal(f.t, v.holder.Current().Hash, head.Hash)
+	}
+}
+
+// lateTable answers some commits with Unknown and applies them afterwards, as
+// a network does that delivers a request after its sender gave up.
+type lateTable struct {
+	store.Table
+	late func() bool
+	wg   sync.WaitGroup
+}
+
+func (l *lateTable) Commit(ctx context.Context, t store.Txn) (uint64, error) {
+	if !l.late() {
+		return l.Table.Commit(ctx, t)
+	}
+	l.wg.Go(func() {
+		time.Sleep(30 * time.Millisecond)
+		l.Table.Commit(context.Background(), t)
+	})
+	return 0, store.ErrUnknown
+}
+
+// faultTable is a table whose faults the state-machine test sets one by one,
+// while the test itself reads the table below without faults.
+type faultTable struct {
+	store.Table
+	down, lose, dieAfterWrite, delay bool
+	held                             []store.Txn // delayed in the network
+}
+
+func (f *faultTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	if f.down {
+		return nil, store.ErrUnavailable
+	}
+	return f.Table.Get(ctx, keys...)
+}
+
+func (f *faultTable) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	if f.down {
+		return nil, store.ErrUnavailable
+	}
+	return f.Table.Scan(ctx, prefix, after, limit)
+}
+
+func (f *faultTable) Commit(ctx context.Context, t store.Txn) (uint64, error) {
+	if f.down {
+		return 0, store.ErrUnavailable
+	}
+	if f.delay {
+		f.held = append(f.held, t)
+		return 0, store.ErrUnknown
+	}
+	revision, err := f.Table.Commit(ctx, t)
+	f.down = f.dieAfterWrite
+	if err == nil && (f.lose || f.dieAfterWrite) {
+		return 0, store.ErrUnknown
+	}
+	return revision, err
+}
+
+// deliver applies the delayed transactions.
+func (f *faultTable) deliver() {
+	for _, t := range f.held {
+		f.Table.Commit(context.Background(), t) // a condition may not hold any more
+	}
+	f.held = nil
+}
--- /dev/null
+++ b/internal/confsync/follow.go
@@ -0,0 +1,247 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+)
+
+// peersAsked bounds the peers that are asked for one version.
+const peersAsked = 3
+
+// errNotHeld reports that a source lacks the records.
+var errNotHeld = errors.New("records are not held")
+
+// bundle leads from one version to another: records, or a snapshot and the
+// records after it.
+type bundle struct {
+	Snapshot []byte   `msgpack:"s"`
+	Records  [][]byte `msgpack:"r"`
+}
+
+// targets returns the heads known, the highest version first. If the store's
+// is known, lower ones are left out: a VM must not serve an older version than
+// the one it knows to be accepted.
+func (s *Syncer) targets(stored Head, haveStored bool) []Head {
+	s.mu.Lock()
+	seen := map[Head]bool{}
+	for _, h := range s.heads {
+		newer := s.state == nil || h.Version > s.state.config.Version
+		if newer && (!haveStored || h.Version > stored.Version) {
+			seen[h] = true
+		}
+	}
+	s.mu.Unlock()
+	if haveStored {
+		seen[stored] = true
+	}
+	heads := make([]Head, 0, len(seen))
+	for h := range seen {
+		heads = append(heads, h)
+	}
+	sort.Slice(heads, func(i, j int) bool { return heads[i].Version > heads[j].Version })
+	return heads
+}
+
+// follow brings the state to target from the first source that proves it:
+// peers, so that a change costs the store few reads, and then the store. c is
+// nil if the store is not to be asked.
+func (s *Syncer) follow(ctx context.Context, target Head, c *compaction) error {
+	select {
+	case s.turn <- struct{}{}:
+		defer func() { <-s.turn }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	base := s.base()
+	if s.current() != nil && target.Version <= base.Version {
+		return nil
+	}
+	if target.Version == 0 {
+		s.install([]step{{config: base}})
+		return nil
+	}
+	errs := []error{fmt.Errorf("version %d has no source that verifies", target.Version)}
+	for _, source := range s.sources(target, c) {
+		steps, err := source.steps(ctx, base, target)
+		if err == nil {
+			s.install(steps)
+			return nil
+		}
+		s.refuse(source.name, target, err)
+		errs = append(errs, fmt.Errorf("%s: %w", source.name, err))
+	}
+	return errors.Join(errs...)
+}
+
+// refuse records that a source did not lead to target.
+func (s *Syncer) refuse(source string, target Head, err error) {
+	var problem config.Problem
+	if errors.As(err, &problem) {
+		s.refused.Inc()
+		s.o.Log.Error("configuration refused: it does not verify", "source", source, "version", target.Version, "error", err)
+		return
+	}
+	s.o.Log.Warn("configuration not fetched", "source", source, "version", target.Version, "error", err)
+}
+
+// base returns the configuration that records are applied to.
+func (s *Syncer) base() *config.Config {
+	if st := s.current(); st != nil {
+		return st.config
+	}
+	return config.Empty()
+}
+
+// source yields a bundle that leads from a version to a target.
+type source struct {
+	name  string
+	fetch func(ctx context.Context, after uint64, target Head) (bundle, error)
+	// scratch asks for a way from the beginning, for a VM whose own state may
+	// be what does not verify.
+	scratch bool
+}
+
+func (s *Syncer) sources(target Head, c *compaction) []source {
+	var list []source
+	for _, address := range s.peersWith(target) {
+		list = append(list, source{name: "peer " + address, fetch: s.peerFetch(address)})
+	}
+	if c == nil {
+		return list
+	}
+	fromStore := func(ctx context.Context, after uint64, target Head) (bundle, error) {
+		return s.storeFetch(ctx, after, target, *c)
+	}
+	list = append(list, source{name: "table service", fetch: fromStore})
+	if s.Head().Version > 0 {
+		list = append(list, source{name: "table service, from the beginning", fetch: fromStore, scratch: true})
+	}
+	return list
+}
+
+// peersWith returns peers whose heartbeat has the target or a higher version.
+func (s *Syncer) peersWith(target Head) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, p := range s.o.Peers() {
+		h, ok := s.heads[p.Instance.Address]
+		if ok && (h == target || h.Version > target.Version) {
+			addresses = append(addresses, p.Instance.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), peersAsked)]
+}
+
+// step is one version on the way to a target.
+type step struct {
+	config   *config.Config
+	previous string
+	record   []byte
+	decoded  config.Record
+}
+
+// steps fetches a bundle and verifies that it leads to target.
+func (src source) steps(ctx context.Context, base *config.Config, target Head) ([]step, error) {
+	if src.scratch {
+		base = config.Empty()
+	}
+	b, err := src.fetch(ctx, base.Version, target)
+	if err != nil {
+		return nil, err
+	}
+	return verify(base, b, target)
+}
+
+// verify applies a bundle to base and checks that the result has the version
+// and hash of target. The hash covers every record, and the record of a
+// snapshot covers its objects.
+func verify(base *config.Config, b bundle, target Head) ([]step, error) {
+	var steps []step
+	current := base
+	if len(b.Snapshot) > 0 {
+		snapshot, c, err := config.DecodeSnapshot(b.Snapshot)
+		if err != nil {
+			return nil, err
+		}
+		r, _, err := config.DecodeRecord(snapshot.Record)
+		if err != nil {
+			return nil, err
+		}
+		steps = append(steps, step{config: c, previous: snapshot.Previous, record: snapshot.Record, decoded: r})
+		current = c
+	}
+	for _, record := range b.Records {
+		next, err := config.Replay(current, record)
+		if err != nil {
+			return nil, err
+		}
+		r, _, err := config.DecodeRecord(record)
+		if err != nil {
+			return nil, err
+		}
+		steps = append(steps, step{config: next, previous: current.Hash, record: record, decoded: r})
+		current = next
+	}
+	reached := Head{Version: current.Version, Hash: current.Hash}
+	if len(steps) == 0 || reached != target {
+		return nil, config.Problem{Key: "hash chain", Found: fmt.Sprintf("version %d, hash %s", reached.Version, reached.Hash), Allowed: fmt.Sprintf("version %d, hash %s", target.Version, target.Hash)}
+	}
+	return steps, nil
+}
+
+// install puts verified steps in force, one version after the other.
+func (s *Syncer) install(steps []step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.state
+	for _, st := range steps {
+		next = next.with(st)
+		if s.o.Holder.Raise(st.config) && st.record != nil {
+			s.spread.Update(max(0, time.Since(time.UnixMilli(st.decoded.AcceptedMillis)).Seconds()))
+		}
+	}
+	if s.state == nil || next.config.Version > s.state.config.Version {
+		s.state = next
+	}
+	s.fault = nil
+	s.o.Log.Info("configuration in force", "version", s.state.config.Version, "hash", s.state.config.Hash)
+}
+
+// with returns the state after a step. Records older than the checkpoint
+// before the last are dropped: those behind get the last checkpoint.
+func (st *state) with(p step) *state {
+	next := &state{config: p.config}
+	if p.record == nil {
+		return next
+	}
+	if st != nil {
+		next.checkpoint = st.checkpoint
+		if st.config.Hash == p.previous {
+			next.records = append(next.records, st.records...)
+		}
+	}
+	next.records = append(next.records, p.record)
+	if p.config.Version%config.SnapshotInterval == 0 {
+		next.checkpoint = newCheckpoint(p)
+		keep := min(len(next.records), config.SnapshotInterval)
+		next.records = next.records[len(next.records)-keep:]
+	}
+	return next
+}
+
+func newCheckpoint(p step) *checkpoint {
+	c := &checkpoint{config: p.config, previous: p.previous, record: p.record}
+	c.encoded = sync.OnceValue(func() []byte {
+		return encode(config.NewSnapshot(c.config, c.previous, c.record))
+	})
+	return c
+}
--- /dev/null
+++ b/internal/confsync/follow_test.go
@@ -0,0 +1,208 @@
+package confsync
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/store/storefake"
+)
+
+var ctx = context.Background()
+
+// Guards against an accepted patch that only the store and its acceptor know
+// when the store goes down.
+func TestSpreadWhileStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	vms := []*vm{f.add(f.fake), f.add(f.fake), f.add(f.fake)}
+	vms[0].grow(1)
+	f.run(vms...)
+	f.await(vms[0].Head(), vms...)
+	f.fake.SetFaults(storefake.Faults{LoseAnswer: func(store.Txn) bool {
+		go f.fake.SetFaults(storefake.Faults{Down: true})
+		return false
+	}})
+	began := time.Now()
+	vms[0].grow(1)
+	f.await(Head{Version: 2, Hash: vms[0].Head().Hash}, vms...)
+	t.Logf("in force on 3 VMs after %v with heartbeats each 10 ms", time.Since(began))
+	assert.Assert(t, time.Since(began) < 3*time.Second)
+	var exported bytes.Buffer
+	vms[1].o.Metrics.WritePrometheus(&exported)
+	assert.Assert(t, bytes.Contains(exported.Bytes(), []byte("oriolefront_config_spread_seconds_count 2")), exported.String())
+	_, err := vms[1].Submit(ctx, zonePatch("x", 2, "a", "b"))
+	assert.ErrorContains(t, err, "not_run")
+}
+
+// Guards against a start with an older configuration than the VM can know of,
+// and against a VM that is ready without one.
+func TestStartUp(t *testing.T) {
+	t.Run("empty store", func(t *testing.T) {
+		f := newFleet(t)
+		v := f.add(f.fake)
+		assert.ErrorContains(t, v.Ready(), "no configuration yet")
+		assert.NilError(t, v.start(ctx))
+		f.await(Head{}, v)
+	})
+	t.Run("no source", func(t *testing.T) {
+		f := newFleet(t)
+		f.fake.SetFaults(storefake.Faults{Down: true})
+		v, other := f.add(f.fake), f.add(f.fake)
+		assert.Assert(t, v.start(ctx) != nil)
+		assert.ErrorContains(t, v.Ready(), "table service is unavailable")
+		assert.ErrorContains(t, v.Ready(), "no peer answered with a version")
+		assert.Assert(t, v.holder.Current() == nil && other.holder.Current() == nil)
+	})
+	t.Run("highest of peers while the store is down", func(t *testing.T) {
+		f := newFleet(t)
+		old, newest := f.add(f.fake), f.add(f.fake)
+		newest.grow(2)
+		assert.NilError(t, old.start(ctx))
+		newest.grow(3)
+		f.fake.SetFaults(storefake.Faults{Down: true})
+		v := f.add(f.fake)
+		assert.NilError(t, v.start(ctx))
+		f.await(newest.Head(), v)
+	})
+	t.Run("store knows a higher version than can be fetched", func(t *testing.T) {
+		f := newFleet(t)
+		peer, newest := f.add(f.fake), f.add(f.fake)
+		newest.grow(1)
+		assert.NilError(t, peer.start(ctx))
+		newest.grow(1)
+		newest.cut.Store(true)
+		_, err := f.fake.Commit(ctx, store.Txn{Ops: []store.Op{{Key: patchKey(2), Delete: true}}})
+		assert.NilError(t, err)
+		v := f.add(f.fake)
+		assert.Assert(t, v.start(ctx) != nil)
+		assert.ErrorContains(t, v.Ready(), "version 2 has no source that verifies")
+		newest.cut.Store(false)
+		assert.NilError(t, v.start(ctx))
+		f.await(newest.Head(), v)
+	})
+}
+
+// Guards against a VM that cannot catch up after compaction, from the store or
+// from a peer, and against messages above the bound.
+func TestFarBehind(t *testing.T) {
+	f := newFleet(t)
+	v, behind := f.add(f.fake), f.add(f.fake)
+	assert.NilError(t, behind.start(ctx))
+	for i := range 7 {
+		v.grow(50)
+		for range 4 {
+			v.poll(ctx)
+		}
+		if i == 0 {
+			assert.Assert(t, f.record(1) != nil)
+		}
+	}
+	big := zonePatch("big", v.Head().Version, "big", "x")
+	big.Operations[0].Value = fmt.Appendf(nil, `{"region":"%s"}`, bytes.Repeat([]byte("x"), 3*maxChunk))
+	_, err := v.Submit(ctx, big)
+	assert.NilError(t, err)
+	assert.Equal(t, string(f.record(200)), "", "patches before the last two snapshots are kept")
+	assert.Assert(t, f.record(201) != nil, "a patch that only one snapshot replaces was deleted")
+	_, err = f.objects.Get(ctx, objectName(100))
+	assert.ErrorIs(t, err, store.ErrNoObject)
+
+	behind.cut.Store(true)
+	behind.poll(ctx)
+	f.await(v.Head(), behind)
+	late := f.add(f.fake)
+	f.fake.SetFaults(storefake.Faults{Down: true})
+	assert.NilError(t, late.start(ctx))
+	f.await(v.Head(), late)
+	assert.Assert(t, bytes.Equal(encode(late.holder.Current().Document()), encode(v.holder.Current().Document())))
+	assert.Assert(t, f.maxReply > maxChunk && f.maxReply <= maxMessage, "largest message has %d bytes", f.maxReply)
+}
+
+// Guards against a configuration in force that does not verify: records that
+// were changed in the store, by a peer, and a peer that invents versions.
+func TestRefusesWhatDoesNotVerify(t *testing.T) {
+	f := newFleet(t)
+	v, reader := f.add(f.fake), f.add(f.fake)
+	v.grow(1)
+	assert.NilError(t, reader.start(ctx))
+	v.grow(1)
+	honest := f.record(2)
+	forge := func(value []byte) {
+		_, err := f.fake.Commit(ctx, store.Txn{Ops: []store.Op{{Key: patchKey(2), Value: value}}})
+		assert.NilError(t, err)
+	}
+	forge(bytes.Replace(honest, []byte(`"r1"`), []byte(`"rX"`), 1))
+	f.spoil = func(r *fetchReply) { r.Data = bytes.Replace(r.Data, []byte(`"r1"`), []byte(`"rX"`), 1) }
+	v.beat()
+	reader.poll(ctx)
+	assert.Equal(t, reader.Head().Version, uint64(1))
+	assert.Equal(t, reader.refused.Get(), uint64(3)) // the peer, the store, the store from the beginning
+	invented, err := msgpack.Marshal(Head{Version: 9, Hash: v.Head().Hash})
+	assert.NilError(t, err)
+	reader.Attachment().Consume(membership.Instance{Address: v.address}, invented)
+	reads := f.fake.Counts().Reads
+	reader.followPeers(ctx)
+	assert.Equal(t, reader.Head().Version, uint64(1))
+	assert.Equal(t, f.fake.Counts().Reads, reads, "each heartbeat of a faulty peer costs the store reads")
+	assert.NilError(t, reader.Ready())
+	reader.behind = time.Now().Add(-behindLimit)
+	reader.poll(ctx)
+	assert.ErrorContains(t, reader.Ready(), "version 2 has no source that verifies")
+	forge(honest)
+	reader.poll(ctx)
+	f.await(v.Head(), reader)
+}
+
+// Guards against a VM that serves on, as ready, with a configuration that is
+// not the store's, and against one that never finds back.
+func TestDivergence(t *testing.T) {
+	f := newFleet(t)
+	v, lost := f.add(f.fake), f.add(f.fake)
+	v.grow(1)
+	record, next, err := config.Accept(config.Empty(), zonePatch("other", 0, "z", "r"), time.Now())
+	assert.NilError(t, err)
+	lost.adopt(ctx, config.Empty(), record, next)
+	lost.poll(ctx)
+	assert.ErrorContains(t, lost.Ready(), "hash of version 1")
+	v.grow(1)
+	lost.poll(ctx)
+	f.await(v.Head(), lost)
+}
+
+// Guards against polls above 100 a second for the fleet.
+func TestPollInterval(t *testing.T) {
+	for _, seats := range []int{1, 9, 100, 590} {
+		s := &Syncer{o: Options{HeldSeats: func() int { return seats }}}
+		for range 100 {
+			assert.Assert(t, float64(seats)/s.interval().Seconds() <= readsPerSecond)
+		}
+	}
+}
+
+func FuzzPeerData(f *testing.F) {
+	head, err := msgpack.Marshal(Head{Version: 3, Hash: "ab"})
+	assert.NilError(f, err)
+	records, err := msgpack.Marshal(bundle{Records: [][]byte{[]byte(`{"version":1,"patch":{"id":"a","operations":[]}}`)}})
+	assert.NilError(f, err)
+	f.Add(head)
+	f.Add(records)
+	target := Head{Version: 1, Hash: config.Chain("", []byte("x"))}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if h, err := decodeHead(data); err == nil {
+			assert.NilError(t, h.check())
+		}
+		if b, err := decodeBundle(data); err == nil {
+			_, err := verify(config.Empty(), b, target)
+			assert.Assert(t, err != nil)
+		}
+		decodeRow(store.Row{Revision: 1, Value: data}, &Head{})
+		(&Syncer{}).serveFetch(ctx, data)
+	})
+}
--- /dev/null
+++ b/internal/confsync/peers.go
@@ -0,0 +1,218 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/membership"
+)
+
+// Messages between VMs.
+const (
+	// MessageFetch is the kind of the message that fetches patches.
+	MessageFetch = "FetchPatches"
+	// attachmentName names the part of a heartbeat that carries the Head.
+	attachmentName = "config"
+	// maxMessage bounds one message, so that heartbeats do not wait behind it.
+	maxMessage = 256 << 10
+	// maxChunk leaves room for the other fields of a reply.
+	maxChunk = maxMessage - 1024
+	// maxBundle bounds what a VM takes from a peer; beyond it the store is asked.
+	maxBundle = 64 << 20
+	// peersAskedAtStart bounds the calls in progress at start-up.
+	peersAskedAtStart = 16
+)
+
+// fetchRequest asks for the bytes from Offset on of the bundle that leads from
+// After to UpTo. UpTo 0 asks for the head only.
+type fetchRequest struct {
+	After  uint64 `msgpack:"a"`
+	UpTo   uint64 `msgpack:"u"`
+	Offset int    `msgpack:"o"`
+}
+
+type fetchReply struct {
+	Known bool   `msgpack:"k"` // false if the peer has no configuration yet
+	Head  Head   `msgpack:"h"`
+	Total int    `msgpack:"t"`
+	Data  []byte `msgpack:"d"`
+}
+
+// Register sets the handler of messages from peers.
+func (s *Syncer) Register(r link.Registrar) { r.Handle(MessageFetch, s.serveFetch) }
+
+func (s *Syncer) serveFetch(_ context.Context, payload []byte) (any, error) {
+	var req fetchRequest
+	if err := msgpack.Unmarshal(payload, &req); err != nil {
+		return nil, config.Problem{Key: MessageFetch, Found: err.Error(), Allowed: "a fetch request"}
+	}
+	st := s.current()
+	if st == nil {
+		return fetchReply{}, nil
+	}
+	reply := fetchReply{Known: true, Head: st.head()}
+	if req.UpTo == 0 {
+		return reply, nil
+	}
+	data, err := st.bundle(req.After, req.UpTo)
+	if err != nil {
+		return nil, err
+	}
+	if req.Offset < 0 || req.Offset > len(data) || len(data) > maxBundle {
+		return nil, config.Problem{Key: "offset", Found: fmt.Sprintf("%d of %d bytes", req.Offset, len(data)), Allowed: fmt.Sprintf("0 to the length, which is at most %d", maxBundle)}
+	}
+	reply.Total = len(data)
+	reply.Data = data[req.Offset:min(len(data), req.Offset+maxChunk)]
+	return reply, nil
+}
+
+// bundle encodes what leads from a version to another.
+func (st *state) bundle(after, upTo uint64) ([]byte, error) {
+	records, ok := st.after(after, upTo)
+	if ok {
+		return msgpack.Marshal(bundle{Records: records})
+	}
+	if st.checkpoint == nil || after >= st.checkpoint.config.Version {
+		return nil, errNotHeld
+	}
+	records, ok = st.after(st.checkpoint.config.Version, upTo)
+	if !ok {
+		return nil, errNotHeld
+	}
+	return msgpack.Marshal(bundle{Snapshot: st.checkpoint.encoded(), Records: records})
+}
+
+// peerFetch returns a function that fetches a bundle from one peer in bounded
+// messages. If the peer's bundle changes between two of them, the result does
+// not decode or verify and is refused.
+func (s *Syncer) peerFetch(address string) func(context.Context, uint64, Head) (bundle, error) {
+	return func(ctx context.Context, after uint64, target Head) (bundle, error) {
+		var data []byte
+		for {
+			reply, err := s.callPeer(ctx, address, fetchRequest{After: after, UpTo: target.Version, Offset: len(data)})
+			if err != nil {
+				return bundle{}, err
+			}
+			if reply.Total > maxBundle || len(reply.Data) > maxChunk || len(reply.Data) == 0 {
+				return bundle{}, config.Problem{Key: MessageFetch, Found: fmt.Sprintf("%d of %d bytes", len(reply.Data), reply.Total), Allowed: fmt.Sprintf("1 to %d of at most %d bytes", maxChunk, maxBundle)}
+			}
+			data = append(data, reply.Data...)
+			if len(data) >= reply.Total {
+				return decodeBundle(data)
+			}
+		}
+	}
+}
+
+func decodeBundle(data []byte) (bundle, error) {
+	var b bundle
+	if err := msgpack.Unmarshal(data, &b); err != nil {
+		return b, config.Problem{Key: "bundle", Found: err.Error(), Allowed: "a snapshot and records"}
+	}
+	return b, nil
+}
+
+func (s *Syncer) callPeer(ctx context.Context, address string, req fetchRequest) (fetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply fetchReply
+	err := s.o.Caller.Call(ctx, address, MessageFetch, req, &reply)
+	return reply, err
+}
+
+// Attachment carries the head of this VM in each heartbeat.
+func (s *Syncer) Attachment() membership.Attachment {
+	return membership.Attachment{Name: attachmentName, Produce: s.produce, Consume: s.consume}
+}
+
+func (s *Syncer) produce() []byte {
+	st := s.current()
+	if st == nil {
+		return nil
+	}
+	data, err := msgpack.Marshal(st.head())
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (s *Syncer) consume(from membership.Instance, data []byte) {
+	h, err := decodeHead(data)
+	if err != nil {
+		s.refused.Inc()
+		s.o.Log.Error("configuration head of a peer refused", "peer", from.Address, "error", err)
+		return
+	}
+	s.noteHead(from.Address, h)
+}
+
+func decodeHead(data []byte) (Head, error) {
+	var h Head
+	if err := msgpack.Unmarshal(data, &h); err != nil {
+		return h, config.Problem{Key: "head", Found: err.Error(), Allowed: "a version and a hash"}
+	}
+	return h, h.check()
+}
+
+// noteHead keeps the head of a peer and wakes Run if it is higher.
+func (s *Syncer) noteHead(address string, h Head) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heads[address] = h
+	if s.state != nil && h.Version <= s.state.config.Version {
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// forgetGone drops the heads of VMs that are no peers any more.
+func (s *Syncer) forgetGone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := map[string]bool{}
+	for _, p := range s.o.Peers() {
+		known[p.Instance.Address] = true
+	}
+	maps.DeleteFunc(s.heads, func(address string, _ Head) bool { return !known[address] })
+}
+
+// askPeers asks all peers for their heads.
+func (s *Syncer) askPeers(ctx context.Context) {
+	peers := s.o.Peers()
+	slots := make(chan struct{}, peersAskedAtStart)
+	var wg sync.WaitGroup
+	for _, p := range peers {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			s.askPeer(ctx, p.Instance.Address)
+		})
+	}
+	wg.Wait()
+}
+
+func (s *Syncer) askPeer(ctx context.Context, address string) {
+	reply, err := s.callPeer(ctx, address, fetchRequest{})
+	if err != nil {
+		s.o.Log.Warn("peer not asked for its configuration", "peer", address, "error", err)
+		return
+	}
+	if err := reply.Head.check(); err != nil {
+		s.refused.Inc()
+		s.o.Log.Error("configuration head of a peer refused", "peer", address, "error", err)
+		return
+	}
+	if reply.Known {
+		s.noteHead(address, reply.Head)
+	}
+}
--- /dev/null
+++ b/internal/confsync/race_test.go
@@ -0,0 +1,266 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/store/storefake"
+)
+
+// told collects what operators were told, by id.
+type told struct {
+	mu       sync.Mutex
+	verdicts map[string][]Verdict
+}
+
+func (d *told) add(v Verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.verdicts[v.ID] = append(d.verdicts[v.ID], v)
+}
+
+// Guards against two patches in one version, a verdict that is not true or
+// changes, and a version that goes back: 50 operators race for 200 versions
+// over 5 VMs, with lost answers, late transactions and killed submitters.
+func TestRaceOfOperators(t *testing.T) {
+	const operators, versions = 50, 200
+	f := newFleet(t)
+	f.fake.SetFaults(storefake.Faults{LoseAnswer: func(store.Txn) bool { return rand.IntN(4) == 0 }})
+	var vms []*vm
+	for range 5 {
+		late := &lateTable{Table: f.fake, late: func() bool { return rand.IntN(10) == 0 }}
+		t.Cleanup(late.wg.Wait)
+		vms = append(vms, f.add(late))
+	}
+	f.run(vms...)
+	stop := watchOrder(t, vms)
+	d := &told{verdicts: map[string][]Verdict{}}
+	var sent sync.Map // id to patch
+	var wg sync.WaitGroup
+	var full atomic.Bool
+	deadline := time.Now().Add(60 * time.Second)
+	for operator := range operators {
+		wg.Go(func() {
+			for i := 0; !full.Load() && time.Now().Before(deadline); i++ {
+				id := fmt.Sprintf("o%d-%d", operator, i)
+				p := zonePatch(id, vms[rand.IntN(5)].Head().Version, fmt.Sprint("z", operator), id)
+				sent.Store(id, p)
+				submitUntilKnown(d, vms, p)
+				full.Store(vms[0].Head().Version >= versions)
+			}
+		})
+	}
+	wg.Wait()
+	stop()
+	checkHistory(t, f, vms, d, &sent, versions)
+}
+
+// submitUntilKnown submits to random VMs, some of which are killed on the way,
+// and asks for the verdict once more after it is known.
+func submitUntilKnown(d *told, vms []*vm, p config.Patch) {
+	for range 100 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+rand.IntN(400))*time.Millisecond)
+		v, err := vms[rand.IntN(len(vms))].Submit(ctx, p)
+		cancel()
+		if err != nil {
+			continue
+		}
+		d.add(v)
+		if rand.IntN(2) == 0 {
+			return
+		}
+	}
+}
+
+// watchOrder fails if the version in force on a VM goes back.
+func watchOrder(t *testing.T, vms []*vm) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, v := range vms {
+		wg.Go(func() {
+			last := uint64(0)
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if c := v.holder.Current(); c != nil {
+					if c.Version < last {
+						t.Errorf("%s went back from %d to %d", v.address, last, c.Version)
+					}
+					last = c.Version
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	return func() { close(done); wg.Wait() }
+}
+
+func checkHistory(t *testing.T, f *fleet, vms []*vm, d *told, sent *sync.Map, versions uint64) {
+	f.fake.SetFaults(storefake.Faults{})
+	time.Sleep(100 * time.Millisecond) // late transactions
+	h, err := vms[0].readHead(context.Background())
+	assert.NilError(t, err)
+	assert.Assert(t, h.head.Version >= versions, "only %d versions", h.head.Version)
+	f.await(h.head, vms...)
+	byID := map[string]uint64{}
+	current := config.Empty()
+	for v := uint64(1); v <= h.head.Version; v++ {
+		row := f.record(v)
+		if row == nil {
+			continue // compacted; the rows after it must continue the chain
+		}
+		_, p, err := config.DecodeRecord(row)
+		assert.NilError(t, err)
+		want, _ := sent.Load(p.ID)
+		assert.DeepEqual(t, p.Operations, want.(config.Patch).Operations)
+		assert.Equal(t, byID[p.ID], uint64(0), "patch %s made two versions", p.ID)
+		byID[p.ID] = v
+		if current.Version == v-1 {
+			current, err = config.Replay(current, row)
+			assert.NilError(t, err)
+		}
+	}
+	accepted := 0
+	for id, verdicts := range d.verdicts {
+		for _, v := range verdicts {
+			assert.Equal(t, v.Result, verdicts[0].Result, "operator of %s was told two things", id)
+			stored, err := vms[0].Lookup(context.Background(), id)
+			assert.Equal(t, err == nil, v.Result == Accepted, "verdict on %s is not true: %v", id, v)
+			if err == nil {
+				accepted++
+				assert.Equal(t, v.Version, stored.Version)
+			}
+		}
+	}
+	t.Logf("%d versions, %d patches told, %d tellings of acceptance", h.head.Version, len(d.verdicts), accepted)
+}
+
+func (f *fleet) record(version uint64) []byte {
+	rows, err := f.fake.Get(context.Background(), patchKey(version))
+	assert.NilError(f.t, err)
+	return rows[0].Value
+}
+
+// protocol is the model of the state-machine test: which patches were accepted
+// and what was told of each content.
+type protocol struct {
+	f        *fleet
+	vms      []*vm
+	patches  []config.Patch
+	verdicts map[string]Verdict // by digest
+	n        int
+}
+
+// Guards against a sequence of faults that makes a verdict untrue: each content
+// gets one verdict for good, and versions are made by accepted patches only.
+func TestPatchProtocol(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(t)
+		faults := &faultTable{Table: f.fake}
+		m := &protocol{f: f, vms: []*vm{f.add(faults), f.add(faults)}, verdicts: map[string]Verdict{}}
+		rt.Repeat(map[string]func(*rapid.T){
+			"submit":  m.submitNew,
+			"repeat":  m.repeat,
+			"reuseID": m.reuseID,
+			"faults": func(t *rapid.T) {
+				fault := func(name string) bool { return rapid.IntRange(0, 3).Draw(t, name) == 0 }
+				faults.down, faults.lose, faults.delay = fault("down"), fault("lose"), fault("delay")
+				faults.dieAfterWrite = fault("die")
+				f.noVotes.Store(fault("no quorum"))
+			},
+			"deliver": func(*rapid.T) { faults.deliver() },
+			"poll":    func(t *rapid.T) { m.pick(t).poll(context.Background()) },
+			"":        m.check,
+		})
+	})
+}
+
+func (m *protocol) pick(t *rapid.T) *vm { return rapid.SampledFrom(m.vms).Draw(t, "vm") }
+
+func (m *protocol) submitNew(t *rapid.T) {
+	v := m.pick(t)
+	m.n++
+	base := v.Head().Version + uint64(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "ahead"))
+	p := zonePatch(fmt.Sprint("p", m.n), base, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), fmt.Sprint(m.n))
+	m.patches = append(m.patches, p)
+	m.submit(t, v, p)
+}
+
+func (m *protocol) repeat(t *rapid.T) {
+	if len(m.patches) > 0 {
+		m.submit(t, m.pick(t), rapid.SampledFrom(m.patches).Draw(t, "patch"))
+	}
+}
+
+func (m *protocol) reuseID(t *rapid.T) {
+	if len(m.patches) > 0 {
+		v := m.pick(t)
+		p := zonePatch(rapid.SampledFrom(m.patches).Draw(t, "patch").ID, v.Head().Version, "c", "other")
+		m.patches = append(m.patches, p)
+		m.submit(t, v, p)
+	}
+}
+
+func (m *protocol) submit(t *rapid.T, v *vm, p config.Patch) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+	defer cancel()
+	before := m.written()
+	got, err := v.Submit(ctx, p)
+	if err != nil {
+		outcome := apierror.From(err).Outcome
+		assert.Assert(t, outcome == apierror.OutcomeUnknown || m.written() == before, "not run is not true: %v", err)
+		return
+	}
+	first, known := m.verdicts[got.Digest]
+	if !known {
+		m.verdicts[got.Digest] = got
+		return
+	}
+	assert.Equal(t, got.Result, first.Result, "told %v, then %v", first, got)
+	if got.Result == Accepted {
+		assert.Equal(t, got.Version, first.Version)
+	}
+}
+
+// written returns the version in the store.
+func (m *protocol) written() uint64 {
+	rows, err := m.f.fake.Get(context.Background(), keyHead)
+	assert.NilError(m.f.t, err)
+	var head Head
+	assert.NilError(m.f.t, decodeRow(rows[0], &head))
+	return head.Version
+}
+
+// check compares the store with what was told.
+func (m *protocol) check(t *rapid.T) {
+	made := map[string]uint64{}
+	for version := uint64(1); version <= m.written(); version++ {
+		_, p, err := config.DecodeRecord(m.f.record(version))
+		assert.NilError(t, err)
+		digest, err := p.Digest()
+		assert.NilError(t, err)
+		assert.Equal(t, made[digest], uint64(0))
+		made[digest] = version
+	}
+	for digest, v := range m.verdicts {
+		if v.Result == Accepted {
+			assert.Equal(t, made[digest], v.Version)
+		} else {
+			assert.Equal(t, made[digest], uint64(0), "%s was refused and accepted", v.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/confsync/storefetch.go
@@ -0,0 +1,93 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/store"
+)
+
+// storeFetch takes the records after a version from the table, or the last
+// snapshot and the records after it if older ones were deleted.
+func (s *Syncer) storeFetch(ctx context.Context, after uint64, target Head, c compaction) (bundle, error) {
+	if after >= c.Deleted {
+		records, err := s.scanRecords(ctx, after, target.Version)
+		if err == nil {
+			return bundle{Records: records}, nil
+		}
+		if c.Snapshot <= after || c.Snapshot > target.Version {
+			return bundle{}, err
+		}
+	}
+	if c.Snapshot > target.Version {
+		return bundle{}, errNotHeld
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snapshot, err := s.o.Objects.Get(ctx, objectName(c.Snapshot))
+	if err != nil {
+		return bundle{}, fmt.Errorf("snapshot %d: %w", c.Snapshot, err)
+	}
+	records, err := s.scanRecords(ctx, c.Snapshot, target.Version)
+	return bundle{Snapshot: snapshot, Records: records}, err
+}
+
+// scanRecords reads the records of the versions after one up to another.
+func (s *Syncer) scanRecords(ctx context.Context, after, upTo uint64) ([][]byte, error) {
+	var records [][]byte
+	for after < upTo {
+		limit := int(min(scanRows, upTo-after))
+		rows, err := s.scan(ctx, after, limit)
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 0 {
+			return nil, errNotHeld
+		}
+		for _, row := range rows {
+			after++
+			if row.Key != patchKey(after) {
+				return nil, errNotHeld
+			}
+			records = append(records, row.Value)
+		}
+	}
+	return records, nil
+}
+
+func (s *Syncer) scan(ctx context.Context, after uint64, limit int) ([]store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := s.o.Table.Scan(ctx, patchPrefix, patchKey(after), limit)
+	if err != nil {
+		return nil, err
+	}
+	s.o.StoreContact()
+	return rows, nil
+}
+
+// HistoryEntry is an accepted patch with its version.
+type HistoryEntry struct {
+	Version        uint64       `json:"version"`
+	AcceptedMillis int64        `json:"accepted_unix_ms"`
+	Patch          config.Patch `json:"patch"`
+}
+
+// History returns accepted patches after a version, at most scanRows of them.
+// Patches before the last two snapshots are not held any more.
+func (s *Syncer) History(ctx context.Context, after uint64) ([]HistoryEntry, error) {
+	rows, err := s.scan(ctx, after, scanRows)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	entries := make([]HistoryEntry, 0, len(rows))
+	for _, row := range rows {
+		r, p, err := config.DecodeRecord(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, HistoryEntry{Version: r.Version, AcceptedMillis: r.AcceptedMillis, Patch: p})
+	}
+	return entries, nil
+}
