Add the operators' HTTP interface and oriolectl

Cause: operators keep declarations in version control and need to submit them, take zones out of service, and learn the verdict after a lost answer.

Change: internal/operator serves the configuration, patches, history and status to operators with a key, on a handler of its own. internal/ctl is the logic of oriolectl: it compares, submits under one id to one server after the other, and maps results to documented exit codes. After a lost answer, "not run" from another server does not settle the outcome.

Conclusion: tests run oriolectl against the interface on a fake store, every exit code included, and with a server that loses its answers.

--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,247 @@
+// Package ctl is the logic of oriolectl, the operators' program.
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+)
+
+// The exit codes.
+const (
+	ExitOK         = 0
+	ExitFailed     = 1
+	ExitUsage      = 2
+	ExitRefused    = 3
+	ExitUnknown    = 4
+	ExitDifference = 5
+)
+
+// KeyVariable is the environment variable with the operator key.
+const KeyVariable = "ORIOLECTL_KEY"
+
+const usageText = `oriolectl changes and shows the configuration of a fleet of entry VMs.
+
+usage: oriolectl [flags] COMMAND
+
+commands:
+  check FILE           check declarations in TOML; asks no server
+  diff FILE            show how the declarations differ from what is in force
+  apply FILE           show the difference and submit it as one patch
+  get                  show the configuration in force
+  history [N]          show the accepted patches after version N
+  status               show what one VM knows
+  zone out|in NAME     take a zone out of service, or bring it back
+  target leave|join NAME   make a target leave, or bring it back
+  patch show ID        show what became of a patch
+
+The key of the operator comes from the environment variable ORIOLECTL_KEY or
+from the file given by -key-file.
+
+exit codes: 0 ok or no difference, 1 failed and not run, 2 wrong usage or
+invalid declarations, 3 refused, 4 outcome unknown (repeat with the same -id
+and -base), 5 diff found a difference
+
+flags:
+`
+
+// Env is what the program gets from its surroundings.
+type Env struct {
+	Stdin          io.Reader
+	Stdout, Stderr io.Writer
+	Getenv         func(string) string
+}
+
+// program is one run.
+type program struct {
+	env     Env
+	ctx     context.Context
+	flags   *flag.FlagSet
+	servers string
+	keyFile string
+	output  string
+	id      string
+	base    int64
+	yes     bool
+	client  *client
+}
+
+// usageError is a wrong command line or wrong declarations.
+type usageError struct{ error }
+
+// errDifference reports that diff found one.
+var errDifference = errors.New("difference found")
+
+// Run executes a command line without the program name and returns the exit
+// code.
+func Run(ctx context.Context, env Env, args []string) int {
+	p := &program{env: env, ctx: ctx}
+	positional, err := p.parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	if err == nil {
+		err = p.execute(positional)
+	}
+	if err != nil && !errors.Is(err, errDifference) {
+		fmt.Fprintln(env.Stderr, "oriolectl:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errDifference):
+		return ExitDifference
+	case errors.As(err, &unknownError{}):
+		return ExitUnknown
+	case errors.As(err, &refusedError{}):
+		return ExitRefused
+	case errors.As(err, &usageError{}), errors.As(err, &invalidError{}):
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// parse accepts flags before and after the words of the command.
+func (p *program) parse(args []string) ([]string, error) {
+	p.flags = flag.NewFlagSet("oriolectl", flag.ContinueOnError)
+	p.flags.SetOutput(p.env.Stderr)
+	p.flags.StringVar(&p.servers, "servers", "http://127.0.0.1:8081", "operator `URLs`, separated by commas, tried in order")
+	p.flags.StringVar(&p.keyFile, "key-file", "", "`file` with the operator key, if "+KeyVariable+" is not set")
+	p.flags.StringVar(&p.output, "o", "text", "output `format`: text or json")
+	p.flags.StringVar(&p.id, "id", "", "`id` of the patch; give it again to repeat a submission (default: random)")
+	p.flags.Int64Var(&p.base, "base", -1, "`version` that the patch is against (default: the one in force)")
+	p.flags.BoolVar(&p.yes, "yes", false, "submit without asking")
+	p.flags.Usage = func() {
+		fmt.Fprint(p.env.Stderr, usageText)
+		p.flags.PrintDefaults()
+	}
+	var positional []string
+	for {
+		if err := p.flags.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return nil, err
+			}
+			return nil, usageError{err}
+		}
+		if p.flags.NArg() == 0 {
+			return positional, p.checkFlags()
+		}
+		positional = append(positional, p.flags.Arg(0))
+		args = p.flags.Args()[1:]
+	}
+}
+
+func (p *program) checkFlags() error {
+	if p.output != "text" && p.output != "json" {
+		return usageError{config.Problem{Key: "-o", Found: p.output, Allowed: "text or json"}}
+	}
+	if p.id != "" && !config.ValidName(p.id) {
+		return usageError{config.Problem{Key: "-id", Found: p.id, Allowed: "1 to 64 letters, digits, dots, underscores or hyphens"}}
+	}
+	if p.id == "" {
+		p.id = rand.Text()
+	}
+	return nil
+}
+
+// connect reads the key and makes the client.
+func (p *program) connect() error {
+	key := p.env.Getenv(KeyVariable)
+	if key == "" && p.keyFile != "" {
+		data, err := os.ReadFile(p.keyFile)
+		if err != nil {
+			return usageError{err}
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	if key == "" {
+		return usageError{config.Problem{Key: KeyVariable, Found: "", Allowed: "the operator key there, or in the file of -key-file"}}
+	}
+	p.client = newClient(strings.Split(p.servers, ","), key)
+	return nil
+}
+
+func (p *program) execute(words []string) error {
+	if len(words) == 2 && words[0] == "check" {
+		return p.check(words[1])
+	}
+	command, err := p.command(words)
+	if err != nil {
+		return err
+	}
+	if err := p.connect(); err != nil {
+		return err
+	}
+	return command()
+}
+
+// command finds the command that words name.
+func (p *program) command(words []string) (func() error, error) {
+	argument := ""
+	if len(words) > 0 {
+		argument = words[len(words)-1]
+	}
+	commands := map[string]func() error{
+		"diff FILE":         func() error { return p.diff(argument) },
+		"apply FILE":        func() error { return p.apply(argument) },
+		"get":               p.get,
+		"history":           func() error { return p.history("0") },
+		"history N":         func() error { return p.history(argument) },
+		"status":            p.status,
+		"zone out NAME":     func() error { return p.setZone(argument, true) },
+		"zone in NAME":      func() error { return p.setZone(argument, false) },
+		"target leave NAME": func() error { return p.setTarget(argument, true) },
+		"target join NAME":  func() error { return p.setTarget(argument, false) },
+		"patch show ID":     func() error { return p.showPatch(argument) },
+	}
+	for pattern, command := range commands {
+		if matches(strings.Fields(pattern), words) {
+			return command, nil
+		}
+	}
+	p.flags.Usage()
+	return nil, usageError{config.Problem{Key: "command", Found: strings.Join(words, " "), Allowed: "a command of the list above"}}
+}
+
+// matches compares words with a pattern in which capitals stand for any word.
+func matches(pattern, words []string) bool {
+	if len(pattern) != len(words) {
+		return false
+	}
+	for i, w := range pattern {
+		if w != words[i] && w != strings.ToUpper(w) {
+			return false
+		}
+	}
+	return true
+}
+
+// notSent reports whether a request failed before a byte of it was sent.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// print shows a value as JSON, or calls text.
+func (p *program) print(v any, text func(w io.Writer)) error {
+	if p.output == "text" {
+		text(p.env.Stdout)
+		return nil
+	}
+	e := json.NewEncoder(p.env.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
