--- a/internal/confsync/compact.go
+++ b/internal/confsync/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 
 	"github.com/oriolefront/oriolefront/internal/store"
@@ -52,15 +53,20 @@
 		return err
 	}
 	s.o.Log.Info("configuration snapshot written", "version", version)
-	if c.Previous > 0 {
-		return s.o.Objects.Delete(call, objectName(c.Previous))
-	}
 	return nil
 }
 
-// deleteRecords deletes patches that the older snapshot contains. The rows of
+// deleteRecords deletes patches that the older snapshot contains, and the
+// snapshot before it. The rows of
 // patch ids stay, so that a repeat gets its verdict at any time.
 func (s *Syncer) deleteRecords(ctx context.Context, c compaction, revision uint64) error {
+	// Deletion begins where the last one ended, at the snapshot that is now the
+	// third; deleting an object again, or one that does not exist, is harmless.
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.o.Objects.Delete(call, objectName(c.Deleted)); err != nil && !errors.Is(err, store.ErrNoObject) {
+		return err
+	}
 	next := c
 	var ops []store.Op
 	for next.Deleted < c.Previous && len(ops) < deletedRows {
