--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,310 @@
+// Package entry wires the parts of an entry process together and runs them
+// from start to graceful shutdown.
+package entry
+
+import (
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/oriolefront/oriolefront/internal/admission"
+	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/capacity"
+	"github.com/oriolefront/oriolefront/internal/claim"
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/confsync"
+	"github.com/oriolefront/oriolefront/internal/engine"
+	"github.com/oriolefront/oriolefront/internal/gateway"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/load"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/operator"
+	"github.com/oriolefront/oriolefront/internal/order"
+	"github.com/oriolefront/oriolefront/internal/plain"
+	"github.com/oriolefront/oriolefront/internal/resume"
+	"github.com/oriolefront/oriolefront/internal/scheduler"
+	"github.com/oriolefront/oriolefront/internal/seat"
+	"github.com/oriolefront/oriolefront/internal/settings"
+	"github.com/oriolefront/oriolefront/internal/store/httpstore"
+	"github.com/oriolefront/oriolefront/internal/sweep"
+)
+
+// Process is one entry process.
+type Process struct {
+	settings *settings.Settings
+	log      *slog.Logger
+	metrics  *metrics.Set
+	config   *config.Holder
+	clients  *clients
+
+	store   *httpstore.Client
+	links   *link.Client
+	server  *link.Server
+	members *membership.View
+	seats   *seat.Holder
+	syncer  *confsync.Syncer
+
+	ledger    *capacity.Ledger
+	sweeper   *sweep.Sweeper
+	collector *load.Collector
+	admission *admission.Controller
+	claims    *claim.Claims
+	orders    *order.Manager
+	gateway   *gateway.Gateway
+
+	callers   *http.Server
+	operators *http.Server
+
+	abort chan struct{}
+}
+
+// New builds a process from settings; nothing is started.
+func New(s *settings.Settings, log *slog.Logger) (*Process, error) {
+	p := &Process{
+		settings: s,
+		log:      log,
+		metrics:  metrics.NewSet(),
+		config:   &config.Holder{},
+		clients:  newClients(),
+		abort:    make(chan struct{}),
+	}
+	security, err := peerSecurity(s.Peers)
+	if err != nil {
+		return nil, err
+	}
+	p.links = link.NewClient(security, log)
+	p.server = link.NewServer(security, log)
+	p.buildAgreement()
+	if err := p.buildPath(); err != nil {
+		return nil, err
+	}
+	p.buildServers()
+	p.registerMetrics()
+	return p, nil
+}
+
+// buildAgreement builds what VMs agree through: the store, the membership,
+// the seats and the configuration.
+func (p *Process) buildAgreement() {
+	s := p.settings
+	p.store = httpstore.New(httpstore.Options{
+		TableURL:   s.Platform.Table,
+		ObjectsURL: s.Platform.Objects,
+		VMsURL:     s.Platform.VMs,
+		OnContact:  func() { p.members.NoteStoreContact() },
+	})
+	// The start number orders the lives of a VM at one address. VMs have no
+	// disk, so it comes from the wall clock.
+	self := membership.Instance{Address: s.Listen.Peers, StartNumber: uint64(time.Now().UnixNano())}
+	p.members = membership.New(membership.Options{
+		Self:   self,
+		Zone:   s.VM.Zone,
+		Caller: p.links,
+		Lister: p.lister(),
+		Log:    p.log,
+	})
+	p.members.SetConfigVersion(func() uint64 { return p.syncer.Head().Version })
+	p.seats = seat.New(seat.Options{
+		Table:      p.store.Table(),
+		Membership: p.members,
+		Caller:     p.links,
+		Seats:      p.configuredSeats,
+		MaxSeats:   s.VM.MaxSeats,
+		Log:        p.log,
+	})
+	p.syncer = confsync.New(confsync.Options{
+		Table:        p.store.Table(),
+		Objects:      p.store.Objects(),
+		Holder:       p.config,
+		Caller:       p.links,
+		Quorum:       p.members.Quorum,
+		Peers:        p.members.Peers,
+		HeldSeats:    p.seats.Occupied,
+		StoreContact: p.members.NoteStoreContact,
+		Log:          p.log,
+		Metrics:      p.metrics,
+	})
+	p.members.Register(p.server)
+	p.seats.Register(p.server)
+	p.syncer.Register(p.server)
+	p.members.Attach(p.syncer.Attachment())
+}
+
+// buildPath builds what a request goes through.
+func (p *Process) buildPath() error {
+	s := p.settings
+	key, err := hex.DecodeString(s.Keys.Resume)
+	if err != nil {
+		return merry.Prepend(err, "keys.resume")
+	}
+	sealer, err := resume.NewSealer(key)
+	if err != nil {
+		return merry.Prepend(err, "keys.resume")
+	}
+	policy, err := scheduler.PolicyNamed(s.Scheduler.Policy)
+	if err != nil {
+		return merry.Prepend(err, "scheduler.policy")
+	}
+	p.ledger = capacity.New(capacity.Options{
+		Config: p.config, Seats: p.seats, Members: p.members, Caller: p.links, Log: p.log,
+	}, p.server)
+	p.members.Attach(p.ledger.Attachment())
+	p.sweeper = sweep.New(sweep.Options{Ledger: p.ledger, Clients: p.clients.get, Config: p.config, Seats: p.seats, Log: p.log})
+	p.collector = load.NewCollector(load.Options{
+		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Zone: s.VM.Zone, Log: p.log,
+	})
+	p.admission = admission.NewController(admission.Options{
+		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Collector: p.collector,
+		Verdict: p.members.Verdict, Seats: p.seatCounts, Policy: policy, Log: p.log,
+	})
+	p.members.Attach(p.admission.Attachment())
+	p.claims = claim.New(claim.Options{
+		Table: p.store.Table(), Objects: p.store.Objects(), Holder: p.instanceName(), MaySend: p.mayStart, Log: p.log,
+	})
+	p.orders = order.New(order.Options{Table: p.store.Table(), Holder: p.instanceName(), MayAct: p.mayStart, Log: p.log})
+	limits := gateway.DefaultLimits()
+	limits.BodyBytes = s.Limits.BodyBytes
+	limits.HeldBytes = s.Limits.HeldBytes
+	p.gateway = gateway.New(gateway.Options{
+		Config:   p.config,
+		Admitter: p.admission,
+		Identity: identity{p},
+		Clients:  p.clients.get,
+		Plain: plain.New(plain.Options{
+			Config: p.config, AccountOf: gateway.AccountOf, MaySend: p.mayStart, Claims: p.claims,
+			Share: p.plainShare, Log: p.log, Limits: limits,
+		}),
+		Sealer:  sealer,
+		Log:     p.log,
+		Limits:  limits,
+		Metrics: gateway.NewMetrics(p.metrics),
+	})
+	return nil
+}
+
+func (p *Process) buildServers() {
+	s := p.settings
+	errorLog := slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
+	p.callers = &http.Server{
+		Handler:           p.callersHandler(),
+		ReadHeaderTimeout: s.Limits.HeaderTimeout.Std(),
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          errorLog,
+	}
+	hashes := map[string][]string{}
+	for name, hash := range s.Keys.Operators {
+		hashes[name] = []string{hash}
+	}
+	p.operators = &http.Server{
+		Handler: operator.Handler(operator.Options{
+			Configuration: p.syncer,
+			Current:       p.config.Current,
+			Status:        p.status,
+			Keys:          auth.NewKeys(hashes),
+			Log:           p.log,
+		}),
+		ReadHeaderTimeout: s.Limits.HeaderTimeout.Std(),
+		ReadTimeout:       operatorReadTimeout,
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          errorLog,
+	}
+}
+
+const (
+	idleTimeout         = 2 * time.Minute
+	operatorReadTimeout = 30 * time.Second
+)
+
+// callersHandler adds metrics to the callers' interface.
+func (p *Process) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		p.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.Handle("/", p.gateway.Handler())
+	return mux
+}
+
+// Config returns the configuration in force, nil before the first.
+func (p *Process) Config() *config.Config { return p.config.Current() }
+
+// LinkStats returns the messages and bytes between this VM and others.
+func (p *Process) LinkStats() link.Stats { return p.links.Stats().Add(p.server.Stats()) }
+
+// StoreStats returns the calls to the platform's services.
+func (p *Process) StoreStats() httpstore.Stats { return p.store.Stats() }
+
+// instanceName names this life of the VM in rows of the store.
+func (p *Process) instanceName() string {
+	self := p.members.Self()
+	return fmt.Sprintf("%s#%d", self.Address, self.StartNumber)
+}
+
+func (p *Process) configuredSeats() int {
+	cfg := p.config.Current()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Seats
+}
+
+// seatCounts returns the seats of this VM and those held by all VMs.
+func (p *Process) seatCounts() (own, held int) {
+	return len(p.seats.Seats()), p.seats.Occupied()
+}
+
+// plainShare divides the concurrent requests of a plain target by seats.
+func (p *Process) plainShare(_ string, maxRunning int) int {
+	seats := max(1, p.configuredSeats())
+	return max(1, maxRunning*len(p.seats.Seats())/seats)
+}
+
+// identity is this VM as the gateway names it in attempts.
+type identity struct{ p *Process }
+
+// AttemptPrefix implements gateway.Identity.
+func (i identity) AttemptPrefix() (string, error) {
+	if err := i.p.syncer.Ready(); err != nil {
+		return "", err
+	}
+	return i.p.seats.AttemptPrefix()
+}
+
+// mayStart returns an error while this VM may not start new work.
+func (p *Process) mayStart() error {
+	_, err := identity{p}.AttemptPrefix()
+	return err
+}
+
+func peerSecurity(s settings.Peers) (link.Security, error) {
+	if s.Plaintext {
+		return link.Plaintext(), nil
+	}
+	security, err := link.LoadMutualTLS(s.Certificate, s.PrivateKey, s.Authority)
+	return security, merry.Prepend(err, "peers")
+}
+
+// clients keeps one engine client for each address.
+type clients struct {
+	transport *http.Transport
+	byAddress sync.Map // string to engine.Client
+}
+
+func newClients() *clients { return &clients{transport: engine.NewTransport()} }
+
+func (c *clients) get(address string) engine.Client {
+	if client, ok := c.byAddress.Load(address); ok {
+		return client.(engine.Client)
+	}
+	client, _ := c.byAddress.LoadOrStore(address, engine.NewHTTPClient(address, c.transport))
+	return client.(engine.Client)
+}
--- /dev/null
+++ b/internal/lab/control.go
@@ -0,0 +1,103 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/loadgen"
+	"github.com/oriolefront/oriolefront/internal/standin"
+)
+
+// SetZone takes a zone out of service or back, through a patch.
+func (l *Lab) SetZone(ctx context.Context, name string, out bool) error {
+	operation, err := Put("zone/"+name, config.Zone{Region: l.Options.Region, OutOfService: out})
+	if err != nil {
+		return err
+	}
+	return l.Submit(ctx, []config.Operation{operation})
+}
+
+// SetStoreDown switches an outage of table service and object store.
+func (l *Lab) SetStoreDown(down bool) {
+	l.Table.SetFaults(standin.PlatformFaults{Down: down})
+	l.Objects.SetFaults(standin.PlatformFaults{Down: down})
+}
+
+// LastStart returns how long after a moment the last new work reached an
+// engine of a zone; 0 if none did.
+func (l *Lab) LastStart(zone string, since time.Time) time.Duration {
+	last := time.Duration(0)
+	for _, e := range l.Engines {
+		if e.Zone != zone {
+			continue
+		}
+		for _, entry := range e.Record().Entries() {
+			if entry.Event == "start" && entry.At.After(since) {
+				last = max(last, entry.At.Sub(since))
+			}
+		}
+	}
+	return last
+}
+
+// HeldByEngines returns the attempts and exports that engines hold.
+func (l *Lab) HeldByEngines() int {
+	n := 0
+	for _, e := range l.Engines {
+		inventory := e.Inventory()
+		n += len(inventory.Attempts) + len(inventory.Exports)
+	}
+	return n
+}
+
+// MostStoreCalls returns the most reads and writes that the store saw in one
+// second after a moment.
+func (l *Lab) MostStoreCalls(since time.Time) (reads, writes int) {
+	for _, s := range l.Table.Record().Seconds {
+		if s.Unix < since.Unix() {
+			continue
+		}
+		reads = max(reads, s.Reads)
+		writes = max(writes, s.Writes)
+	}
+	return reads, writes
+}
+
+const (
+	warmUpRequests = 12
+	warmUpTimeout  = 40 * time.Second
+)
+
+// WarmUp sends short requests until all engines are used as warm ones.
+func (l *Lab) WarmUp(ctx context.Context) error {
+	client := loadgen.NewClient(l.CallerAddresses(), AccountKey)
+	deadline := time.Now().Add(warmUpTimeout)
+	for round := 0; time.Now().Before(deadline); round++ {
+		loadgen.Run(ctx, client, loadgen.Load{
+			Model: Model, PerSecond: float64(warmUpRequests * l.Options.Engines), Duration: time.Second,
+			Mix:  []loadgen.Kind{{Name: "warm-up", Weight: 1, MinTokens: 200, MaxTokens: 400, Output: 8, Timeout: 10 * time.Second}},
+			Seed: uint64(round), Name: fmt.Sprintf("warm-up-%d", round),
+		})
+		if l.allWarm() {
+			return nil
+		}
+	}
+	return fmt.Errorf("engines are not warm after %s", warmUpTimeout)
+}
+
+// allWarm asks the entry processes whether every engine's warm share is used.
+func (l *Lab) allWarm() bool {
+	for _, entry := range l.Entries {
+		if entry.stopped.Load() {
+			continue
+		}
+		for _, e := range l.Engines {
+			if !entry.Process.Warm(e.Name) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/measure/latency.go
@@ -0,0 +1,178 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/gateway"
+	"github.com/oriolefront/oriolefront/internal/lab"
+	"github.com/oriolefront/oriolefront/internal/loadgen"
+	"github.com/oriolefront/oriolefront/internal/scheduler"
+)
+
+func logUniformMean(low, high float64) float64 {
+	if high <= low {
+		return low
+	}
+	return (high - low) / (math.Log(high) - math.Log(low))
+}
+
+// Targets of the latency measures.
+const (
+	maxOverheadMedian = 0.3 // ms
+	maxOverheadP99    = 2.0 // ms
+	maxShortSlowdown  = 1.25
+	maxLongPromptRise = 1.25
+	firstTokenTarget  = 520 * time.Millisecond
+	firstTokenShare   = 0.95
+	betweenTarget     = 42 * time.Millisecond
+)
+
+// overhead compares the time to first token through one entry process with
+// the time direct to the engines, in turns so that both see the same machine.
+func overhead(ctx context.Context, e *Env) error {
+	o := lab.Bibliobuz()
+	o.Entries, o.Engines, o.Plain = 1, 4, 0
+	o.Engine.PrefillTokensPerSecond = 2_000_000
+	o.Engine.ColdFor = 0
+	l, err := lab.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	through := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
+	var engines []string
+	for _, engine := range l.Engines {
+		engines = append(engines, engine.Address)
+	}
+	direct := loadgen.NewClient(engines, lab.AccountKey)
+	kind := shortKind()
+	kind.MaxTokens = 1_000
+	throughSum, directSum := loadgen.NewSummary(), loadgen.NewSummary()
+	for round := range 4 {
+		for _, side := range []struct {
+			name   string
+			client *loadgen.Client
+			sum    *loadgen.Summary
+		}{{"through", through, throughSum}, {"direct", direct, directSum}} {
+			loadgen.Run(ctx, side.client, loadgen.Load{
+				Model: lab.Model, Mix: []loadgen.Kind{kind}, PerSecond: 200, Duration: e.duration(6 * time.Second),
+				Seed: e.Seed + uint64(round), Name: fmt.Sprintf("%s%d", side.name, round), Each: side.sum.Add,
+			})
+		}
+	}
+	for _, q := range []struct {
+		name  string
+		p     float64
+		limit float64
+	}{{"overhead_median", 50, maxOverheadMedian}, {"overhead_p99", 99, maxOverheadP99}} {
+		a, b := throughSum.FirstToken(kindShort, q.p), directSum.FirstToken(kindShort, q.p)
+		value := (a - b).Seconds() * 1000
+		e.add(Line{q.name, "oriolefront", value, "ms", value <= q.limit, fmt.Sprintf("through %s direct %s at 200 requests/s", a, b)})
+	}
+	return nil
+}
+
+// shortSlowdown measures short requests beside long ones, for each policy.
+func shortSlowdown(ctx context.Context, e *Env) error {
+	for _, policy := range scheduler.PolicyNames() {
+		if err := shortSlowdownWith(ctx, e, policy); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func withPolicy(o lab.Options, policy string) lab.Options {
+	o.SettingsChange = func(_ int, s *lab.EntrySettings) { s.Scheduler.Policy = policy }
+	return o
+}
+
+func shortSlowdownWith(ctx context.Context, e *Env, policy string) error {
+	o := withPolicy(lab.Bibliobuz(), policy)
+	rate := rateFor(o, mix(), 0.7)
+	alone, err := runMix(ctx, o, loadgen.Load{
+		Mix: []loadgen.Kind{shortKind()}, PerSecond: rate * shortWeight / (shortWeight + mediumWeight + longWeight),
+		Duration: e.duration(20 * time.Second), Seed: e.Seed, Name: "alone",
+	})
+	if err != nil {
+		return err
+	}
+	beside, err := runMix(ctx, o, loadgen.Load{
+		Mix: mix(), PerSecond: rate, Duration: e.duration(45 * time.Second), Seed: e.Seed, Name: "beside",
+	})
+	if err != nil {
+		return err
+	}
+	a, b := beside.FirstToken(kindShort, 95), alone.FirstToken(kindShort, 95)
+	value := ratio(a, b)
+	e.add(Line{"short_slowdown", policy, value, "ratio", value <= maxShortSlowdown, fmt.Sprintf("p95 beside %s alone %s; %s", a, b, beside)})
+	if policy == scheduler.PolicyNames()[0] {
+		addBands(e, policy, beside)
+	}
+	return nil
+}
+
+// addBands prints the time to first token by prompt length.
+func addBands(e *Env, policy string, s *loadgen.Summary) {
+	for _, tokens := range []int{2_000, 10_000, 32_000, 100_000, 400_000, 1_000_000} {
+		band := gateway.BandOf(tokens)
+		p95, n := s.FirstTokenOfBand(band, 95)
+		if n == 0 {
+			continue
+		}
+		e.add(Line{"ttft_p95_" + band, policy, p95.Seconds() * 1000, "ms", true, fmt.Sprintf("%d requests; no target of its own", n)})
+	}
+	share := s.ShareWithin(kindShort, firstTokenTarget)
+	e.add(Line{"ttft_share_under_520ms", policy, share, "share", share >= firstTokenShare, "short requests"})
+	between := s.BetweenTokens(95)
+	e.add(Line{"between_tokens_p95", policy, between.Seconds() * 1000, "ms", between <= betweenTarget, "mean of each answer"})
+}
+
+// runMix runs one load in a fresh lab.
+func runMix(ctx context.Context, o lab.Options, load loadgen.Load) (*loadgen.Summary, error) {
+	l, err := lab.Start(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	if err := l.WarmUp(ctx); err != nil {
+		return nil, err
+	}
+	load.Model = lab.Model
+	return loadgen.Run(ctx, loadgen.NewClient(l.CallerAddresses(), lab.AccountKey), load), nil
+}
+
+// longPrompt measures what one prompt of a million tokens after the other
+// does to short requests on the same entry process.
+func longPrompt(ctx context.Context, e *Env) error {
+	o := lab.Bibliobuz()
+	o.Entries = 1
+	o.Engine.PrefillTokensPerSecond = 1_000_000
+	o.Engine.KVTokens = 1_200_000
+	o.Engine.ColdFor = 0
+	l, err := lab.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	client := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
+	run := func(name string, mix []loadgen.Kind, rate float64) *loadgen.Summary {
+		return loadgen.Run(ctx, client, loadgen.Load{
+			Model: lab.Model, Mix: mix, PerSecond: rate, Duration: e.duration(15 * time.Second), Seed: e.Seed, Name: name,
+		})
+	}
+	const shortRate, longRate = 100.0, 0.5
+	short, long := shortKind(), longKind()
+	short.Weight, long.Weight = shortRate, longRate
+	long.MinTokens, long.MaxTokens = 1_000_000, 1_000_000
+	alone := run("alone", []loadgen.Kind{short}, shortRate)
+	beside := run("beside", []loadgen.Kind{short, long}, shortRate+longRate)
+	a, b := beside.FirstToken(kindShort, 99), alone.FirstToken(kindShort, 99)
+	value := ratio(a, b)
+	e.add(Line{"long_prompt_short_p99", "oriolefront", value, "ratio", value <= maxLongPromptRise,
+		fmt.Sprintf("p99 beside %s alone %s; %s", a, b, beside)})
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,7 +132,7 @@
 
 // Parse is Load for the text of a file.
 func Parse(file, text string) (*Settings, error) {
-	s := defaults()
+	s := Defaults()
 	meta, err := toml.Decode(text, s)
 	if err != nil {
 		return nil, Problem{File: file, Key: decodeKey(err), Found: decodeMessage(err), Allowed: "valid TOML of the documented type"}
@@ -148,7 +148,8 @@
 	return s, nil
 }
 
-func defaults() *Settings {
+// Defaults returns settings with every default and no required value.
+func Defaults() *Settings {
 	return &Settings{
 		VM: VM{MaxSeats: 1},
 		Limits: Limits{
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -288,7 +288,7 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.crashLocked(time.Now(), "killed")
+	e.crashLocked(time.Now(), reasonKilled)
 }
 
 // TurnCold makes a warm engine cold without a restart.
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -111,7 +111,7 @@
 		wake:        make(chan struct{}, 1),
 	}
 	e.attempts[req.RequestID] = a
-	e.record.add(Entry{Event: "start", ID: req.RequestID, StartNumber: e.startNumber})
+	e.record.add(Entry{Event: "start", ID: req.RequestID, StartNumber: e.startNumber, Prompt: hash})
 	e.checkMemory(time.Now())
 	if a.lost {
 		panic(http.ErrAbortHandler) // the request made the engine fall over
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -12,12 +12,17 @@
 	ID          string    `json:"id,omitempty"`
 	Reason      string    `json:"reason,omitempty"`
 	StartNumber uint64    `json:"start_number,omitempty"`
+	Prompt      uint64    `json:"prompt,omitempty"` // hash of the prompt of a start
 }
 
+// reasonKilled marks a crash that was asked for.
+const reasonKilled = "killed"
+
 // Summary holds the extremes that a stand-in saw.
 type Summary struct {
 	Starts         int `json:"starts"`
 	Crashes        int `json:"crashes"`
+	Overloads      int `json:"overloads"` // crashes by too much work
 	MaxRunning     int `json:"max_running"`
 	MaxRunningCold int `json:"max_running_cold"`
 	MaxHeld        int `json:"max_held"`
@@ -45,6 +50,9 @@
 		r.summary.Starts++
 	case "crash":
 		r.summary.Crashes++
+		if e.Reason != reasonKilled {
+			r.summary.Overloads++
+		}
 	}
 }
 
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -11,8 +11,9 @@
 )
 
 // BufferBytes is the size asked for socket buffers; the kernel doubles it for
-// its own bookkeeping.
-const BufferBytes = 16 << 10
+// its own bookkeeping. The two buffers on an answer's way, from the engine and
+// to the caller, then hold 32 KiB, half of what an answer may hold.
+const BufferBytes = 8 << 10
 
 const dialTimeout = 2 * time.Second
 
