Test the bounds of capacity under lost messages and dead holders

Change: a rapid state machine runs four ledgers on two engines over an in-memory network with lost requests, lost answers, late and repeated messages, killed, restarted, isolated and replaced holders, and relapses. It checks the warm and the cold bound after each step and that all room is back at the end.

--- /dev/null
+++ b/internal/capacity/cluster_test.go
@@ -0,0 +1,354 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/engine"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/seat"
+)
+
+var errLost, errNoSeat = errors.New("message lost"), errors.New("no seat")
+
+// fate is what becomes of a message between two VMs.
+type fate int
+
+const (
+	delivered fate = iota
+	requestLost
+	answerLost
+	late // the request arrives after the caller gave up
+)
+
+type envelope struct {
+	to, kind string
+	payload  []byte
+}
+
+// cluster is a set of VMs with one engine per target, a seat table and an
+// in-memory network, on a clock of its own.
+type cluster struct {
+	mu     sync.Mutex
+	clock  time.Time
+	config *config.Holder
+	vms    map[string]*vm // by address, the present instance
+	table  map[int]row
+	fates  map[string]fate // by "from>to"
+	late   []envelope
+	calls  int
+	// during, if set, runs once between the next answer and its arrival.
+	during  func()
+	engines map[string]map[string]*work
+	seq     int
+	stage   Stage // of all engines
+	// coldSeq is the number of the last attempt before the relapse.
+	coldSeq int
+}
+
+type row struct {
+	address string
+	epoch   uint64
+}
+
+// work is one attempt in an engine.
+type work struct {
+	id          string
+	seq, tokens int
+	vm          *vm
+	held        *Reservation
+	attached    bool
+	loose       time.Time // when its reader went away
+}
+
+// vm is one entry VM. Its views of seats and membership are as of its last
+// maintenance.
+type vm struct {
+	c        *cluster
+	self     membership.Instance
+	alive    bool
+	handlers map[string]link.Handler
+	ledger   *Ledger
+
+	mu    sync.Mutex
+	seats []seat.Seat
+	rows  map[int]row
+	peers []membership.Peer
+}
+
+func newCluster(targets map[string]config.Target, seats int) *cluster {
+	c := &cluster{
+		clock: time.Unix(1_000_000, 0), config: &config.Holder{},
+		vms: map[string]*vm{}, table: map[int]row{}, fates: map[string]fate{},
+		engines: map[string]map[string]*work{},
+	}
+	c.config.Raise(&config.Config{Version: 1, Seats: seats, SharesPerTarget: seats, Targets: targets})
+	for id := range targets {
+		c.engines[id] = map[string]*work{}
+	}
+	return c
+}
+
+func (c *cluster) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock
+}
+
+// start starts a VM that takes the given seats over.
+func (c *cluster) start(address string, start uint64, seats ...int) *vm {
+	v := &vm{c: c, self: membership.Instance{Address: address, StartNumber: start}, alive: true, handlers: map[string]link.Handler{}}
+	c.vms[address] = v
+	for _, s := range seats {
+		c.give(v, s)
+	}
+	v.look()
+	v.ledger = New(Options{Config: c.config, Seats: v, Members: v, Caller: v, Log: slog.New(slog.DiscardHandler), Now: c.now}, v)
+	return v
+}
+
+// give writes the VM into the row of a seat.
+func (c *cluster) give(v *vm, s int) {
+	r := row{v.self.Address, c.table[s].epoch + 1}
+	c.table[s] = r
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seats = append(v.seats[:len(v.seats):len(v.seats)], seat.Seat{Index: s, Epoch: r.epoch})
+}
+
+// look refreshes the VM's view of the seat table and of the other VMs.
+func (v *vm) look() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rows, v.peers = maps.Clone(v.c.table), nil
+	for _, o := range v.c.vms {
+		state := membership.Live
+		if !o.alive {
+			state = membership.Gone
+		}
+		if o.self.Address != v.self.Address {
+			v.peers = append(v.peers, membership.Peer{Instance: o.self, State: state})
+		}
+	}
+}
+
+// round lets every VM look, hear from each engine, and do its maintenance.
+func (c *cluster) round(d time.Duration) {
+	c.mu.Lock()
+	c.clock = c.clock.Add(d)
+	c.mu.Unlock()
+	for _, works := range c.engines { // as sweeps do
+		maps.DeleteFunc(works, func(_ string, w *work) bool { return !w.attached && c.now().Sub(w.loose) > 10*time.Second })
+	}
+	for _, address := range sortedOf(c.vms) {
+		if v := c.vms[address]; v.alive {
+			v.look()
+			v.ledger.maintain(context.Background())
+			for id := range c.engines {
+				v.ledger.Inventory(id, c.now(), c.inventory(id))
+			}
+		}
+	}
+	c.hear()
+}
+
+// hear gives every VM fresh evidence from every engine.
+func (c *cluster) hear() {
+	for _, v := range c.vms {
+		for id := range c.engines {
+			v.ledger.Observe(id, Observation{At: c.now(), StartNumber: 1})
+		}
+	}
+}
+
+func (c *cluster) inventory(target string) engine.Inventory {
+	inv := engine.Inventory{StartNumber: 1}
+	for _, w := range c.engines[target] {
+		inv.Attempts = append(inv.Attempts, engine.Attempt{ID: w.id, KVTokens: w.tokens, Attached: w.attached})
+	}
+	return inv
+}
+
+// run reserves and starts an attempt.
+func (v *vm) run(target string, tokens int) *work {
+	prefix, err := v.AttemptPrefix()
+	if err != nil {
+		return nil
+	}
+	r, ok := v.ledger.Reserve(target, tokens)
+	if !ok {
+		return nil
+	}
+	v.c.seq++
+	w := &work{id: fmt.Sprintf("%s.%d.1", prefix, v.c.seq), seq: v.c.seq, tokens: tokens, vm: v, held: r, attached: true}
+	r.Attempt(w.id)
+	v.c.engines[target][w.id] = w
+	return w
+}
+
+func (c *cluster) finish(target string, w *work) {
+	delete(c.engines[target], w.id)
+	if w.vm.alive {
+		w.held.Release()
+	}
+}
+
+// kill ends the process. Its attempts lose their reader, or the callers resume
+// them through another VM.
+func (c *cluster) kill(v *vm, resumed bool) {
+	v.alive = false
+	for _, works := range c.engines {
+		for _, w := range works {
+			if w.vm == v {
+				w.attached, w.loose = resumed, c.now()
+			}
+		}
+	}
+}
+
+// dropSeats makes the VM isolated: it may use none of its seats.
+func (v *vm) dropSeats() []int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var lost []int
+	for _, s := range v.seats {
+		lost = append(lost, s.Index)
+	}
+	v.seats = nil
+	return lost
+}
+
+func (c *cluster) used(target string) Room { return c.usedSince(target, 0) }
+
+// usedSince sums the attempts after the one with the given number.
+func (c *cluster) usedSince(target string, seq int) (total Room) {
+	for _, w := range c.engines[target] {
+		if w.seq > seq {
+			total = total.add(Room{w.tokens, 1})
+		}
+	}
+	return total
+}
+
+func (c *cluster) room(target string) (total Room) {
+	for _, v := range c.vms {
+		if v.alive {
+			total = total.add(v.ledger.Room(target))
+		}
+	}
+	return total
+}
+
+// warm tells every VM that all targets are warm.
+func (c *cluster) warm() {
+	c.stage = Stage{Start: 1, Relapses: c.stage.Relapses, Doublings: maxDoublings}
+	c.tell()
+}
+
+// tell tells every VM the present stage.
+func (c *cluster) tell() {
+	for _, v := range c.vms {
+		for id := range c.engines {
+			v.ledger.merge(id, c.stage)
+		}
+	}
+	c.hear()
+}
+
+// relapse makes all engines cold. One VM sees it and the others hear of it by
+// heartbeat.
+func (c *cluster) relapse(v *vm) {
+	for id := range c.engines {
+		v.ledger.Observe(id, Observation{At: c.now(), StartNumber: 1, Cold: true})
+	}
+	data := v.ledger.produce()
+	for _, o := range c.vms {
+		o.ledger.consume(v.self, data)
+	}
+	if s := v.ledger.Stage("e1"); s != c.stage {
+		c.stage, c.coldSeq = s, c.seq
+	}
+}
+
+func (v *vm) Handle(kind string, h link.Handler) { v.handlers[kind] = h }
+
+func (v *vm) Seats() []seat.Seat {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.seats
+}
+
+func (v *vm) HolderOf(index int) (string, uint64, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.rows[index]
+	return r.address, r.epoch, ok
+}
+
+func (v *vm) AttemptPrefix() (string, error) {
+	s := v.Seats()
+	if len(s) == 0 {
+		return "", errNoSeat
+	}
+	return fmt.Sprintf("%d.%d", s[0].Index, s[0].Epoch), nil
+}
+
+func (v *vm) Verdict() membership.Verdict { return membership.Connected }
+func (v *vm) Quorum() bool                { return true }
+func (v *vm) Self() membership.Instance   { return v.self }
+
+func (v *vm) Peers() []membership.Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.peers
+}
+
+func (v *vm) Call(_ context.Context, address, kind string, request, reply any) error {
+	payload, err := msgpack.Marshal(request)
+	if err != nil {
+		return err
+	}
+	e := envelope{address, kind, payload}
+	c := v.c
+	c.mu.Lock()
+	c.calls++
+	f := c.fates[v.self.Address+">"+address]
+	if f == late {
+		c.late = append(c.late, e)
+	}
+	c.mu.Unlock()
+	if f == requestLost || f == late {
+		return errLost
+	}
+	answer, err := c.deliver(e)
+	if during := c.during; during != nil && kind == kindLoanRequest {
+		c.during = nil
+		during()
+	}
+	if err != nil || f == answerLost {
+		return errLost
+	}
+	raw, err := msgpack.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(raw, reply)
+}
+
+// deliver hands a message to the process that lives at the address now.
+func (c *cluster) deliver(e envelope) (any, error) {
+	to := c.vms[e.to]
+	if to == nil || !to.alive {
+		return nil, errLost
+	}
+	return to.handlers[e.kind](context.Background(), e.payload)
+}
