Let repeats of claimed calls share their reads

Each repeat polled the table service on its own, so that some hundred of them used up the VM's share of reads, on which seats and configuration depend too. One read is in flight now, and the next one takes all keys that wait.

Without it the new test fails: "1257 reads for 150 repeats that wait for 2 s" (at most 200 allowed).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -71,6 +71,7 @@
 type Claims struct {
 	options Options
 	held    *budget.Bytes
+	reader  reader
 	wake    chan struct{}
 	stopped chan struct{}
 	open    atomic.Int64
@@ -95,6 +96,7 @@
 	return &Claims{
 		options: o,
 		held:    budget.NewBytes(maxHeldBodies),
+		reader:  reader{table: o.Table},
 		wake:    make(chan struct{}, 1),
 		stopped: make(chan struct{}),
 	}
@@ -228,8 +230,8 @@
 		if r.State == unknown || holderGone || !sleep(ctx, pause/2+rand.N(pause/2)) {
 			return r, 0, errMayHaveRun
 		}
-		if rows, err := c.options.Table.Get(ctx, key); err == nil {
-			read = rows[0]
+		if again, err := c.reader.get(ctx, key); err == nil {
+			read = again
 		}
 	}
 }
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -327,6 +327,32 @@
 	})
 }
 
+// Guards against polling repeats that use up this VM's share of reads.
+func TestRepeatsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, table, _ := started(t)
+		table.SetFaults(storefake.Faults{Delay: 20 * time.Millisecond})
+		slow := func(_ context.Context, maySend func() error) (Result, error) {
+			time.Sleep(2 * time.Second)
+			return Result{Status: 200, Body: []byte("b")}, maySend()
+		}
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				a, err := c.Do(ctx, Call{Key: fmt.Sprint(i % 50), Send: slow})
+				assert.Check(t, err)
+				assert.Check(t, string(a.Body) == "b")
+			})
+		}
+		group.Wait()
+		reads := table.Counts().Reads
+		assert.Assert(t, reads <= 200, "%d reads for 150 repeats that wait for 2 s", reads)
+		assert.NilError(t, c.Flush(t.Context()))
+	})
+}
+
 // Guards against the loss of young rows and against a table that only grows.
 func TestClean(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/claim/read.go
@@ -0,0 +1,97 @@
+package claim
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/oriolefront/oriolefront/internal/store"
+)
+
+// maxReadKeys bounds the rows of one read; a full one is at most 16 MiB.
+const maxReadKeys = 128
+
+// reader reads rows for many callers at once: one read is in flight, and the
+// next one takes all keys that wait. Repeats that poll for a result therefore
+// do not use up this VM's share of reads, which seats and configuration need.
+type reader struct {
+	table store.Table
+
+	mu     sync.Mutex
+	next   *read // gathers keys; nil if none waits
+	active bool  // a goroutine is reading
+}
+
+// read is one read of several rows.
+type read struct {
+	keys []string
+	done chan struct{}
+	rows map[string]store.Row
+	err  error
+}
+
+// get returns the row of a key.
+func (r *reader) get(ctx context.Context, key string) (store.Row, error) {
+	batch := r.join(key)
+	select {
+	case <-batch.done:
+	case <-ctx.Done():
+		return store.Row{}, ctx.Err()
+	}
+	if batch.err != nil {
+		return store.Row{}, batch.err
+	}
+	row, ok := batch.rows[key]
+	if !ok {
+		return row, store.ErrUnavailable
+	}
+	return row, nil
+}
+
+// join adds a key to the next read and starts the reading if it stands still.
+// A key that does not fit is left out; its caller polls again.
+func (r *reader) join(key string) *read {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next == nil {
+		r.next = &read{done: make(chan struct{})}
+	}
+	if len(r.next.keys) < maxReadKeys && !slices.Contains(r.next.keys, key) {
+		r.next.keys = append(r.next.keys, key)
+	}
+	if !r.active {
+		r.active = true
+		go r.run()
+	}
+	return r.next
+}
+
+// run reads until no key waits.
+func (r *reader) run() {
+	for {
+		r.mu.Lock()
+		batch := r.next
+		r.next = nil
+		r.active = batch != nil
+		r.mu.Unlock()
+		if batch == nil {
+			return
+		}
+		r.fill(batch)
+		close(batch.done)
+	}
+}
+
+func (r *reader) fill(batch *read) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	rows, err := r.table.Get(ctx, batch.keys...)
+	if err != nil {
+		batch.err = err
+		return
+	}
+	batch.rows = make(map[string]store.Row, len(rows))
+	for _, row := range rows {
+		batch.rows[row.Key] = row
+	}
+}
