Space calls to the store from when they are sent

Turns were handed out in advance, so that a process that was paused or starved sent the missed calls at once when it woke, above its share. A caller now takes its turn when it sends, and the next one counts from there. The tests of the ceilings and of 10,000 calls pass as before; that a paused process sends no burst follows from the code and has no test of its own.

--- a/internal/store/httpstore/limiter.go
+++ b/internal/store/httpstore/limiter.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -10,28 +10,43 @@
 	"github.com/oriolefront/oriolefront/internal/store"
 )
 
-// pacer spaces calls evenly, so that the calls of all VMs together stay below
-// a rate. Callers wait in a queue of bounded length. It saves up no burst: a
-// burst of each VM after an outage would add up over the fleet.
+// pacer spaces calls, so that the calls of all VMs together stay below a rate.
+// Callers wait in a queue of bounded length, first come first served. It saves
+// up no burst: bursts of each VM after an outage would add up over the fleet.
 type pacer struct {
 	interval time.Duration
 	queue    int
-	mu       sync.Mutex
-	next     time.Time // when the next free slot begins
+	waiting  atomic.Int64
+	turn     chan struct{} // held by the caller whose turn is next
+	next     time.Time     // the earliest time of the next call; guarded by turn
 }
 
 func newPacer(perSecond float64, queue int) *pacer {
-	return &pacer{interval: time.Duration(float64(time.Second) / perSecond), queue: queue}
+	return &pacer{
+		interval: time.Duration(float64(time.Second) / perSecond),
+		queue:    queue,
+		turn:     make(chan struct{}, 1),
+	}
 }
 
 // wait returns when the caller may send. It fails with ErrUnavailable when the
 // queue is full or ctx ends before the caller's turn.
 func (p *pacer) wait(ctx context.Context) error {
-	pause, err := p.reserve(ctx)
-	if err != nil {
-		return err
+	ahead := p.waiting.Add(1) - 1
+	defer p.waiting.Add(-1)
+	if ahead >= int64(p.queue) {
+		return merry.Prepend(store.ErrUnavailable, "queue of calls to the store is full")
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < time.Duration(ahead)*p.interval {
+		return merry.Prepend(store.ErrUnavailable, "the deadline is before the call's turn")
 	}
-	if pause > 0 {
+	select {
+	case p.turn <- struct{}{}:
+	case <-ctx.Done():
+		return errNoTurn
+	}
+	defer func() { <-p.turn }()
+	if pause := time.Until(p.next); pause > 0 {
 		timer := time.NewTimer(pause)
 		defer timer.Stop()
 		select {
@@ -40,26 +55,12 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return merry.Prepend(store.ErrUnavailable, "deadline passed while waiting for a turn")
+		return errNoTurn
 	}
+	// The interval counts from now and not from the time that was due: a
+	// process that was paused must not send the missed calls all at once.
+	p.next = time.Now().Add(p.interval)
 	return nil
 }
 
-func (p *pacer) reserve(ctx context.Context) (time.Duration, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	slot := p.next
-	if slot.Before(now) {
-		slot = now
-	}
-	pause := slot.Sub(now)
-	if pause > time.Duration(p.queue)*p.interval {
-		return 0, merry.Prepend(store.ErrUnavailable, "queue of calls to the store is full")
-	}
-	if deadline, ok := ctx.Deadline(); ok && slot.After(deadline) {
-		return 0, merry.Prepend(store.ErrUnavailable, "the deadline is before the call's turn")
-	}
-	p.next = slot.Add(p.interval)
-	return pause, nil
-}
+var errNoTurn = merry.Prepend(store.ErrUnavailable, "deadline passed while waiting for a turn")
