Add admission control with a bounded queue

The first controller took every request, so that overload ended in late answers, and one account or one large prompt could hold up all others.

Admit checks the verdict, the account's limits over all VMs, and the estimate against the deadline, and then places the request or queues it: by class, by weighted fairness between accounts, by deadline. A request for which memory is not free may be passed 32 times; then a target is kept free for it. A class may be passed 16 times in a row. What cannot end in time is refused at once as not run. A refused retry is "failed", since its earlier attempt may have run.

A VM uses its base share of an account's limit and, in proportion to its demand above that, what peers reported not to use. Bound: the limit while demands are steady; twice the limit for one exchange of heartbeats when peers that lent their share raise their demand at once; and a burst of one second of its share for each VM. A silent peer keeps its base share.

The gateway sends the grant's priority to the engine, names the attempt and reports the first event. The entry process runs the collector and the controller over the declared capacity until the ledger is wired.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,15 +1,22 @@
 // Package admission decides whether a request is taken, and when and where it
-// may start.
+// may start. It refuses early what cannot end in time, and holds the rest in a
+// bounded queue until a target has room.
 package admission
 
 import (
 	"context"
+	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/capacity"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/engine"
+	"github.com/oriolefront/oriolefront/internal/load"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/scheduler"
 )
 
 // Work describes a request that needs a target.
@@ -21,94 +28,346 @@
 	Class        config.Class
 	PromptTokens int
 	OutputTokens int
+	// Bytes is the memory held for the request while it waits; 0 lets the
+	// controller estimate it from PromptTokens.
+	Bytes int64
 	// Deadline is when the request has to be finished.
 	Deadline time.Time
 	// Prefix holds the hashes of the prompt's leading blocks.
 	Prefix []uint64
-	// Exclude names targets that failed this request before.
+	// Exclude names targets that failed this request before. A request with
+	// such names is a retry and is not charged to the account again.
 	Exclude []string
 }
 
-// Report says how an attempt on a target ended.
-type Report struct {
-	// Answered is true when the target sent at least one event.
-	Answered bool
-	// Failed is true when the target did not finish what it was given.
-	Failed bool
-	// StartNumber is the target's start number, 0 if it gave none.
-	StartNumber uint64
-	// FirstEvent is the time from the send to the first event.
-	FirstEvent time.Duration
-	// Events is the number of events received, and Took the time for them.
-	Events int
-	Took   time.Duration
+func (w *Work) tokens() int { return w.PromptTokens + w.OutputTokens }
+
+func (w *Work) bytes() int64 {
+	const bytesPerToken = 5
+	if w.Bytes > 0 {
+		return w.Bytes
+	}
+	return int64(w.PromptTokens) * bytesPerToken
 }
 
+// Report says how an attempt on a target ended.
+type Report = load.Report
+
 // Grant is the right to send one attempt to a target.
 type Grant struct {
 	Target   string
 	Declared config.Target
 	Client   engine.Client
 	Reason   string
-	// Done must be called once, when the target holds nothing of the attempt
-	// any more.
+	// Priority orders the attempt within the engine; a lower one goes first.
+	Priority int
+	// Broken is closed when the target was given up after failed polls, or
+	// when it restarted: it does not hold the attempt any more, or is frozen.
+	Broken <-chan struct{}
+	// Named must be called with the attempt's id before it is sent.
+	Named func(attemptID string)
+	// FirstEvent may be called when the first event has arrived.
+	FirstEvent func()
+	// Done must be called, when the target holds nothing of the attempt any
+	// more. Calls after the first have no effect.
 	Done func(Report)
 }
 
-// Controller admits work.
+// Limits bound the queue.
+type Limits struct {
+	// QueueRequests bounds the waiting requests. Default 4096.
+	QueueRequests int
+	// QueueBytes bounds the memory of the waiting requests. Default 256 MiB.
+	QueueBytes int64
+}
+
+// DefaultLimits returns the defaults.
+func DefaultLimits() Limits { return Limits{QueueRequests: 4096, QueueBytes: 256 << 20} }
+
+// Options are what a Controller is wired to.
+type Options struct {
+	Config    *config.Holder
+	Clients   func(address string) engine.Client
+	Capacity  capacity.Capacity
+	Collector *load.Collector
+	// Verdict is the isolation verdict of this VM.
+	Verdict func() membership.Verdict
+	// Seats returns the number of seats of this VM and of all VMs; nil means
+	// that this VM is the only one.
+	Seats  func() (own, held int)
+	Policy scheduler.Policy
+	Log    *slog.Logger
+	Limits Limits
+}
+
+// Controller admits work. Run must be called to serve the queue.
 type Controller struct {
-	holder  *config.Holder
-	clients func(address string) engine.Client
+	options  Options
+	accounts *accountLimits
+	wake     chan struct{}
+	loans    *loans
+
+	mu     sync.Mutex
+	queues map[string]*queue // by service
+	size   int
+	bytes  int64
+}
+
+// NewController returns a controller.
+func NewController(o Options) *Controller {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Limits == (Limits{}) {
+		o.Limits = DefaultLimits()
+	}
+	if o.Seats == nil {
+		o.Seats = func() (int, int) { return 1, 1 }
+	}
+	c := &Controller{
+		options:  o,
+		accounts: newAccountLimits(o.Seats),
+		wake:     make(chan struct{}, 1),
+		queues:   map[string]*queue{},
+	}
+	c.loans = newLoans(o.Capacity, c.kick)
+	return c
+}
 
-	mu       sync.Mutex
-	inFlight map[string]int
+// Attachment carries the demand of accounts between VMs.
+func (c *Controller) Attachment() membership.Attachment { return c.accounts.attachment() }
+
+// Run serves the queue until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	// A safety net: expiry and backoffs change what can be served without an
+	// event.
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		room, snapshot := c.options.Capacity.Changed(), c.options.Collector.Changed()
+		c.serve()
+		select {
+		case <-ctx.Done():
+			return
+		case <-room:
+		case <-snapshot:
+		case <-c.wake:
+		case <-ticker.C:
+		}
+	}
 }
 
-// NewController returns a controller for the configuration in holder.
-func NewController(holder *config.Holder, clients func(address string) engine.Client) *Controller {
-	return &Controller{holder: holder, clients: clients, inFlight: map[string]int{}}
+// kick asks for the queue to be served.
+func (c *Controller) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Admit waits until w may start on a target, and refuses it when it cannot
 // start in time.
 func (c *Controller) Admit(ctx context.Context, w *Work) (*Grant, error) {
-	cfg := c.holder.Current()
+	arrived := time.Now()
+	grant, err := c.admit(ctx, w, arrived)
+	if err != nil {
+		refusal := asRetry(w, apierror.From(err))
+		err = refusal
+		c.options.Log.Info("admission refused", "request", w.RequestID, "account", w.Account, "service", w.Service,
+			"kind", refusal.Kind, "reason", refusal.Message, "cost_tokens", w.tokens(),
+			"retry_after", refusal.RetryAfter, "waited", time.Since(arrived))
+	}
+	return grant, err
+}
+
+// asRetry corrects the outcome of a refused retry: an earlier attempt may have
+// run, so that "not run" would be untrue.
+func asRetry(w *Work, refusal *apierror.Error) *apierror.Error {
+	if len(w.Exclude) == 0 {
+		return refusal
+	}
+	corrected := *refusal
+	corrected.Outcome = apierror.Failed
+	return &corrected
+}
+
+func (c *Controller) admit(ctx context.Context, w *Work, arrived time.Time) (*Grant, error) {
+	cfg := c.options.Config.Current()
+	if cfg == nil {
+		return nil, apierror.New(apierror.KindUnavailable, apierror.NotRun,
+			"this VM has no configuration yet", "try again later, or another VM").WithRetryAfter(time.Second)
+	}
+	if c.options.Verdict() == membership.Isolated {
+		return nil, errIsolated
+	}
+	contract := cfg.Contracts[cfg.Accounts[w.Account].Contract]
+	charged, err := c.accounts.charge(w, contract, arrived)
+	if err != nil {
+		return nil, err
+	}
+	grant, err := c.placeOrWait(ctx, w, cfg, contract, arrived)
+	if err != nil {
+		c.accounts.refund(w, charged)
+		return nil, err
+	}
+	done, once := grant.Done, sync.Once{}
+	grant.Done = func(r Report) {
+		once.Do(func() {
+			done(r)
+			c.accounts.ended(w.Account)
+			c.kick()
+		})
+	}
+	return grant, nil
+}
+
+var errIsolated = apierror.New(apierror.KindUnavailable, apierror.NotRun,
+	"this VM is cut off from the others and takes no new work", "send the request to another VM").WithRetryAfter(time.Second)
+
+// placeOrWait starts w at once when nothing waits before it, and queues it
+// otherwise.
+func (c *Controller) placeOrWait(ctx context.Context, w *Work, cfg *config.Config, contract config.Contract, arrived time.Time) (*Grant, error) {
+	e, err := c.assess(w, cfg, contract, arrived)
+	if err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	best := ""
-	for name, t := range cfg.Targets {
-		if t.Service != w.Service || excluded(w, name) || t.Leaving || cfg.Zones[t.Zone].OutOfService {
-			continue
-		}
-		if best == "" || c.inFlight[name] < c.inFlight[best] {
-			best = name
+	q := c.queueLocked(w.Service)
+	if q.size == 0 || q.passes(e) {
+		grant, err := c.place(e, q.earmarked(e))
+		if grant != nil || err != nil {
+			c.mu.Unlock()
+			return grant, err
 		}
 	}
-	if best == "" {
-		return nil, apierror.New(apierror.KindOverloaded, apierror.NotRun,
-			"no target can take the request", "try again later").WithRetryAfter(time.Second)
+	err = c.enqueueLocked(q, e)
+	c.mu.Unlock()
+	if err != nil {
+		return nil, err
 	}
-	c.inFlight[best]++
-	return &Grant{
-		Target:   best,
-		Declared: cfg.Targets[best],
-		Client:   c.clients(cfg.Targets[best].Address),
-		Reason:   "least in flight",
-		Done:     func(Report) { c.release(best) },
-	}, nil
+	c.kick()
+	return c.wait(ctx, q, e)
 }
 
-func (c *Controller) release(target string) {
+func (c *Controller) queueLocked(service string) *queue {
+	q := c.queues[service]
+	if q == nil {
+		q = newQueue()
+		c.queues[service] = q
+	}
+	return q
+}
+
+// wait returns the grant of a queued entry, or refuses it when its time is up.
+func (c *Controller) wait(ctx context.Context, q *queue, e *entry) (*Grant, error) {
+	timer := time.NewTimer(time.Until(e.latest))
+	defer timer.Stop()
+	var refusal error
+	select {
+	case out := <-e.done:
+		return out.grant, out.err
+	case <-timer.C:
+		refusal = c.expired(q, e)
+	case <-ctx.Done():
+		refusal = apierror.New(apierror.KindDeadlineExceeded, apierror.NotRun,
+			"the request ended while it waited for a target", "allow more time").WithCause(context.Cause(ctx))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight[target]--
+	if c.removeLocked(q, e) {
+		return nil, refusal
+	}
+	out := <-e.done // it was decided in the meantime
+	if out.grant != nil && ctx.Err() != nil {
+		out.grant.Done(Report{})
+		return nil, refusal
+	}
+	return out.grant, out.err
+}
+
+// place tries to start an entry now. It returns nothing when there is no room,
+// and an error when the entry cannot end in time any more.
+func (c *Controller) place(e *entry, earmarked []uint32) (*Grant, error) {
+	if c.options.Verdict() == membership.Isolated {
+		return nil, errIsolated
+	}
+	snapshot := c.options.Collector.Snapshot()
+	r := c.request(snapshot, e.work)
+	r.Exclude = append(r.Exclude, earmarked...)
+	const tries = 3 // another request may take the room between choice and reservation
+	for range tries {
+		d := scheduler.Pick(snapshot, &c.options.Policy, &r, c.options.Capacity, c.options.Collector.Prefixes())
+		if !d.OK {
+			c.borrow(snapshot, &r, e, &d)
+			return nil, nil
+		}
+		if finish := d.Finish(e.work.OutputTokens); time.Now().Add(finish).After(e.work.Deadline) {
+			return nil, errTooLate(finish, d.FirstToken())
+		}
+		if grant := c.reserve(e, &d); grant != nil {
+			return grant, nil
+		}
+		r.Exclude = append(r.Exclude, d.ID)
+	}
+	return nil, nil
 }
 
-func excluded(w *Work, target string) bool {
+func (c *Controller) request(s *scheduler.Snapshot, w *Work) scheduler.Request {
+	r := scheduler.Request{
+		Service: w.Service, Model: w.Model, Class: w.Class,
+		PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens, Prefix: w.Prefix,
+		Now: scheduler.Now(), Seed: rand.Uint64(),
+	}
 	for _, name := range w.Exclude {
-		if name == target {
-			return true
+		if id, ok := s.ID(name); ok {
+			r.Exclude = append(r.Exclude, id)
 		}
 	}
-	return false
+	return r
+}
+
+// reserve takes the room for a decision, or returns nil.
+func (c *Controller) reserve(e *entry, d *scheduler.Decision) *Grant {
+	w := e.work
+	reservation, ok := c.options.Capacity.Reserve(d.Target.Name, w.tokens())
+	if !ok {
+		return nil
+	}
+	attempt := c.options.Collector.Begin(d, w.Model, w.PromptTokens)
+	if attempt == nil {
+		reservation.Release()
+		return nil
+	}
+	reason := d.Reason()
+	c.options.Log.Info("admission granted", "request", w.RequestID, "account", w.Account, "service", w.Service,
+		"target", d.Target.Name, "reason", reason, "cost_tokens", w.tokens(),
+		"estimate_first", d.FirstToken(), "estimate_end", d.Finish(w.OutputTokens), "waited", time.Since(e.arrived))
+	return &Grant{
+		Target:     d.Target.Name,
+		Declared:   d.Target.Declared,
+		Client:     c.options.Clients(d.Target.Declared.Address),
+		Reason:     reason,
+		Priority:   d.Level,
+		Broken:     attempt.Broken(),
+		Named:      reservation.Attempt,
+		FirstEvent: attempt.FirstEvent,
+		Done: func(r Report) {
+			attempt.Done(r)
+			reservation.Release()
+		},
+	}
+}
+
+// borrow asks other VMs for room on the target that would be best if this VM's
+// share of it were large enough.
+func (c *Controller) borrow(s *scheduler.Snapshot, r *scheduler.Request, e *entry, d *scheduler.Decision) {
+	if d.Rejected[scheduler.FilterRoom] == 0 {
+		return
+	}
+	ask := *r
+	ask.IgnoreRoom = true
+	wanted := scheduler.Pick(s, &c.options.Policy, &ask, c.options.Capacity, c.options.Collector.Prefixes())
+	if wanted.OK {
+		c.loans.ask(wanted.Target.Name, capacity.Room{Tokens: e.work.tokens(), Slots: 1}, e.work.Deadline)
+	}
 }
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,329 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/capacity"
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/engine"
+	"github.com/oriolefront/oriolefront/internal/load"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/scheduler"
+)
+
+// fakeCapacity gives each target the same room and lends a fixed amount.
+type fakeCapacity struct {
+	mu      sync.Mutex
+	room    map[string]capacity.Room
+	lends   int // tokens for each loan
+	named   []string
+	changed chan struct{}
+}
+
+func newFakeCapacity(room map[string]capacity.Room) *fakeCapacity {
+	return &fakeCapacity{room: room, changed: make(chan struct{})}
+}
+
+func (f *fakeCapacity) Room(target string) capacity.Room {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.room[target]
+}
+
+func (f *fakeCapacity) add(target string, tokens, slots int) {
+	r := f.room[target]
+	f.room[target] = capacity.Room{Tokens: r.Tokens + tokens, Slots: r.Slots + slots}
+}
+
+func (f *fakeCapacity) Reserve(target string, tokens int) (*capacity.Reservation, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.room[target]; r.Slots < 1 || r.Tokens < tokens {
+		return nil, false
+	}
+	f.add(target, -tokens, -1)
+	return capacity.NewReservation(target, tokens, f.name, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.add(target, tokens, 1)
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}), true
+}
+
+func (f *fakeCapacity) name(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named = append(f.named, id)
+}
+
+func (f *fakeCapacity) Borrow(_ context.Context, target string, _ capacity.Room, _ time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.add(target, f.lends, 0)
+	return nil
+}
+
+func (f *fakeCapacity) Observe(string, capacity.Observation) {}
+
+func (f *fakeCapacity) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// idleClient is an engine that reports no load.
+type idleClient struct{ engine.Client }
+
+func (idleClient) Load(context.Context) (engine.Load, error) {
+	return engine.Load{StartNumber: 1}, nil
+}
+
+func (idleClient) CacheEvents(context.Context, uint64) (engine.CacheEvents, error) {
+	return engine.CacheEvents{StartNumber: 1}, nil
+}
+
+type rig struct {
+	capacity   *fakeCapacity
+	controller *Controller
+	mu         sync.Mutex
+	verdict    membership.Verdict
+}
+
+func (r *rig) setVerdict(v membership.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.verdict = v
+}
+
+func startRig(t *testing.T, targets int, room capacity.Room, change func(*Options)) *rig {
+	cfg := &config.Config{
+		Version:   1,
+		Zones:     map[string]config.Zone{"iasi": {}},
+		Services:  map[string]config.Service{"lm": {Kind: config.ModelService}},
+		Contracts: map[string]config.Contract{"k": {Weight: 1, MaxConcurrent: 500}},
+		Accounts:  map[string]config.Account{"a": {Contract: "k"}},
+		WaitRules: map[string]config.WaitRule{"long": {MinPromptTokens: 40_000, MaxWait: config.Duration(50 * time.Millisecond)}},
+		Targets:   map[string]config.Target{},
+	}
+	rooms := map[string]capacity.Room{}
+	for i := range targets {
+		name := fmt.Sprintf("e%d", i)
+		rooms[name] = room
+		cfg.Targets[name] = config.Target{
+			Service: "lm", Zone: "iasi", Address: name, Models: []string{"m"}, KVTokens: 100_000,
+			PrefillTokensPerSecond: 1_000_000, DecodeTokensPerSecond: 1000, MaxRunning: 32,
+		}
+	}
+	holder := &config.Holder{}
+	holder.Raise(cfg)
+	clients := func(string) engine.Client { return idleClient{} }
+	r := &rig{capacity: newFakeCapacity(rooms), verdict: membership.Connected}
+	collector := load.NewCollector(load.Options{Config: holder, Clients: clients, Capacity: r.capacity})
+	o := Options{
+		Config: holder, Clients: clients, Capacity: r.capacity, Collector: collector, Policy: scheduler.DefaultPolicy(),
+		Verdict: func() membership.Verdict { r.mu.Lock(); defer r.mu.Unlock(); return r.verdict },
+	}
+	if change != nil {
+		change(&o)
+	}
+	r.controller = NewController(o)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { collector.Run(ctx) })
+	running.Go(func() { r.controller.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return r
+}
+
+func newWork(promptTokens int, deadline time.Duration) *Work {
+	return &Work{Account: "a", Service: "lm", Model: "m", Class: config.ClassStandard,
+		PromptTokens: promptTokens, OutputTokens: 10, Deadline: time.Now().Add(deadline)}
+}
+
+func (r *rig) waiting() int {
+	r.controller.mu.Lock()
+	defer r.controller.mu.Unlock()
+	return r.controller.size
+}
+
+func (r *rig) awaitWaiting(t *testing.T, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.waiting() == n {
+			return poll.Success()
+		}
+		return poll.Continue("%d requests wait, want %d", r.waiting(), n)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+}
+
+// Each case guards against work that is taken although it cannot be served, or
+// is refused late, without "not run", a remedy or a time to try again.
+func TestRefusals(t *testing.T) {
+	full := capacity.Room{}
+	roomy := capacity.Room{Tokens: 100_000, Slots: 32}
+	for _, c := range []struct {
+		name   string
+		room   capacity.Room
+		change func(r *rig, w *Work)
+		kind   apierror.Kind
+		within time.Duration
+	}{
+		{"isolated", roomy, func(r *rig, _ *Work) { r.setVerdict(membership.Isolated) }, apierror.KindUnavailable, 0},
+		{"unknown model", roomy, func(_ *rig, w *Work) { w.Model = "x" }, apierror.KindUnavailable, 0},
+		{"larger than a target", roomy, func(_ *rig, w *Work) { w.PromptTokens = 100_000 }, apierror.KindTooLarge, 0},
+		{"output does not end in time", roomy, func(_ *rig, w *Work) { w.OutputTokens = 5000 }, apierror.KindOverloaded, 0},
+		{"no room until the deadline", full, func(*rig, *Work) {}, apierror.KindOverloaded, time.Second},
+		{"no room within the wait rule", full, func(_ *rig, w *Work) { w.PromptTokens = 50_000 }, apierror.KindOverloaded, 300 * time.Millisecond},
+		{"full queue", full, func(r *rig, _ *Work) { r.controller.options.Limits.QueueRequests = 1 }, apierror.KindOverloaded, 0},
+		{"too many concurrent", full, func(r *rig, _ *Work) {
+			r.controller.accounts.accounts["a"] = &accountState{concurrent: 500, filledAt: time.Now()}
+		}, apierror.KindRateLimited, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := startRig(t, 1, c.room, nil)
+			w := newWork(1000, time.Second)
+			c.change(r, w)
+			begin := time.Now()
+			_, err := r.controller.Admit(t.Context(), w)
+			var refusal *apierror.Error
+			assert.Assert(t, errors.As(err, &refusal), "%v", err)
+			assert.Equal(t, refusal.Kind, c.kind, refusal.Message)
+			assert.Equal(t, refusal.Outcome, apierror.NotRun)
+			assert.Assert(t, refusal.Remedy != "")
+			assert.Assert(t, c.kind == apierror.KindTooLarge || refusal.RetryAfter >= time.Second)
+			assert.Assert(t, time.Since(begin) <= c.within+100*time.Millisecond, "%s", time.Since(begin))
+			assert.Equal(t, r.waiting(), 0)
+		})
+	}
+}
+
+// Guards against a retry that is refused as "not run" although an earlier
+// attempt may have run.
+func TestRefusedRetryIsNotCalledNotRun(t *testing.T) {
+	r := startRig(t, 1, capacity.Room{}, nil)
+	w := newWork(1000, 50*time.Millisecond)
+	w.Exclude = []string{"e0"}
+	_, err := r.controller.Admit(t.Context(), w)
+	assert.Equal(t, apierror.From(err).Outcome, apierror.Failed)
+}
+
+// Guards against requests that stay in the queue when room appears, and
+// against room that leaks.
+func TestQueueIsServedWhenRoomAppears(t *testing.T) {
+	r := startRig(t, 1, capacity.Room{Tokens: 3000, Slots: 2}, nil)
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			g, err := r.controller.Admit(t.Context(), newWork(1000, 5*time.Second))
+			if err != nil {
+				t.Errorf("refused: %v", err)
+				return
+			}
+			g.Named("0.1.1.1")
+			g.FirstEvent()
+			time.Sleep(2 * time.Millisecond)
+			g.Done(Report{Answered: true, StartNumber: 1})
+			g.Done(Report{}) // has no effect
+		})
+	}
+	all.Wait()
+	assert.Equal(t, r.capacity.Room("e0"), capacity.Room{Tokens: 3000, Slots: 2})
+	assert.Equal(t, len(r.capacity.named), 40)
+	assert.Equal(t, r.controller.accounts.accounts["a"].concurrent, 0)
+}
+
+// Guards against a VM with a small share that never asks for a loan.
+func TestLoanServesTheQueue(t *testing.T) {
+	r := startRig(t, 1, capacity.Room{Tokens: 100, Slots: 1}, nil)
+	r.capacity.lends = 5000
+	g, err := r.controller.Admit(t.Context(), newWork(1000, time.Second))
+	assert.NilError(t, err)
+	g.Done(Report{})
+}
+
+// Guards against room that is kept for a caller that went away.
+func TestCancelledRequestLeavesTheQueue(t *testing.T) {
+	r := startRig(t, 1, capacity.Room{}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := r.controller.Admit(ctx, newWork(1000, 5*time.Second))
+		ended <- err
+	}()
+	r.awaitWaiting(t, 1)
+	cancel()
+	assert.Equal(t, apierror.From(<-ended).Outcome, apierror.NotRun)
+	assert.Equal(t, r.waiting(), 0)
+}
+
+// Guards against queued work that a VM starts after it became isolated.
+func TestIsolationEmptiesTheQueue(t *testing.T) {
+	r := startRig(t, 1, capacity.Room{}, nil)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := r.controller.Admit(t.Context(), newWork(1000, 5*time.Second))
+		ended <- err
+	}()
+	r.awaitWaiting(t, 1)
+	r.setVerdict(membership.Isolated)
+	assert.Equal(t, apierror.From(<-ended).Kind, apierror.KindUnavailable)
+}
+
+// Guards against small requests that keep a large one out for ever, and
+// against a large one that stops all small ones.
+func TestLargeRequestIsNotStarved(t *testing.T) {
+	r := startRig(t, 2, capacity.Room{Tokens: 31_000, Slots: 32}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var small sync.WaitGroup
+	for range 60 {
+		small.Go(func() {
+			for ctx.Err() == nil {
+				g, err := r.controller.Admit(ctx, newWork(1500, 4*time.Second))
+				if err == nil {
+					time.Sleep(5 * time.Millisecond)
+					g.Done(Report{Answered: true, StartNumber: 1})
+				}
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	g, err := r.controller.Admit(t.Context(), newWork(30_000, 4*time.Second))
+	cancel()
+	small.Wait()
+	assert.NilError(t, err)
+	g.Done(Report{})
+}
+
+// Guards against a queue that holds more bytes than it may.
+func TestQueueBytesAreBounded(t *testing.T) {
+	const bound = 100_000
+	r := startRig(t, 1, capacity.Room{}, func(o *Options) { o.Limits = Limits{QueueRequests: 1000, QueueBytes: bound} })
+	var all sync.WaitGroup
+	for i := range 100 {
+		all.Go(func() {
+			w := newWork(1000, 300*time.Millisecond) // 5000 bytes
+			w.Class = config.Class(i % classes)
+			r.controller.Admit(t.Context(), w)
+		})
+	}
+	for range 20 {
+		r.controller.mu.Lock()
+		bytes := r.controller.bytes
+		r.controller.mu.Unlock()
+		assert.Assert(t, bytes <= bound, "%d bytes", bytes)
+		time.Sleep(2 * time.Millisecond)
+	}
+	all.Wait()
+	assert.Equal(t, r.controller.bytes, int64(0))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,7 +21,10 @@
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/gateway"
+	"github.com/oriolefront/oriolefront/internal/load"
+	"github.com/oriolefront/oriolefront/internal/membership"
 	"github.com/oriolefront/oriolefront/internal/resume"
+	"github.com/oriolefront/oriolefront/internal/scheduler"
 	"github.com/oriolefront/oriolefront/internal/settings"
 )
 
@@ -31,12 +34,14 @@
 
 // Process is one entry process.
 type Process struct {
-	settings *settings.Settings
-	log      *slog.Logger
-	holder   *config.Holder
-	gateway  *gateway.Gateway
-	set      *metrics.Set
-	server   *http.Server
+	settings  *settings.Settings
+	log       *slog.Logger
+	holder    *config.Holder
+	collector *load.Collector
+	admission *admission.Controller
+	gateway   *gateway.Gateway
+	set       *metrics.Set
+	server    *http.Server
 }
 
 // New builds a process from settings; nothing is started.
@@ -54,12 +59,21 @@
 		return nil, err
 	}
 	clients := newClients()
+	room := newDeclaredCapacity(p.holder)
+	p.collector = load.NewCollector(load.Options{
+		Config: p.holder, Clients: clients.get, Capacity: room, Zone: s.VM.Zone, Log: log,
+	})
+	p.admission = admission.NewController(admission.Options{
+		Config: p.holder, Clients: clients.get, Capacity: room, Collector: p.collector,
+		Verdict: func() membership.Verdict { return membership.Connected },
+		Policy:  scheduler.DefaultPolicy(), Log: log,
+	})
 	limits := gateway.DefaultLimits()
 	limits.BodyBytes = s.Limits.BodyBytes
 	limits.HeldBytes = s.Limits.HeldBytes
 	p.gateway = gateway.New(gateway.Options{
 		Config:   p.holder,
-		Admitter: admission.NewController(p.holder, clients.get),
+		Admitter: p.admission,
 		Identity: fixedIdentity(fmt.Sprintf("0.%d", time.Now().UnixNano())),
 		Clients:  clients.get,
 		Sealer:   sealer,
@@ -114,6 +128,8 @@
 		return merry.Prepend(err, "listen.callers")
 	}
 	p.log.Info("serving callers", "address", listener.Addr().String(), "zone", p.settings.VM.Zone)
+	stop := p.background()
+	defer stop()
 	failed := make(chan error, 1)
 	go func() { failed <- p.server.Serve(listener) }()
 	select {
@@ -124,6 +140,19 @@
 	return p.shutdown()
 }
 
+// background runs what admits requests. It ends after the shutdown, because
+// requests that wait are still served during it.
+func (p *Process) background() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.collector.Run(ctx) })
+	running.Go(func() { p.admission.Run(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // shutdown stops readiness first, leaves the balancer time to notice, and
 // then waits for all requests and cancellations.
 func (p *Process) shutdown() error {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -80,6 +80,7 @@
 		Class:        c.class,
 		PromptTokens: c.promptTokens,
 		OutputTokens: c.maxTokens,
+		Bytes:        c.heldBytes,
 		Deadline:     c.deadline,
 		Prefix:       engine.AppendPrefixHashes(nil, c.prompt, bytesPerToken),
 	}
@@ -195,6 +196,7 @@
 	d.g.Log.Info("route", "request", d.c.id, "account", d.c.account, "service", d.c.service,
 		"target", grant.Target, "attempt", run.id, "prompt_tokens", d.c.promptTokens,
 		"max_tokens", d.c.maxTokens, "continue_from", d.next, "reason", grant.Reason)
+	grant.Named(run.id)
 	return run, nil
 }
 
@@ -202,7 +204,7 @@
 func (d *dispatch) start(ctx context.Context, run *attemptRun) error {
 	body, err := engine.EncodeBody(d.c.fields, engine.Options{
 		Attempt:      run.id,
-		Priority:     int(d.c.class),
+		Priority:     run.grant.Priority,
 		ContinueFrom: d.next,
 		MaxTokens:    d.c.maxTokens,
 	})
@@ -227,6 +229,7 @@
 	run.report.StartNumber = run.stream.StartNumber()
 	if n := run.stream.PromptTokens(); n > 0 {
 		d.counted = n
+		run.report.PromptBytes, run.report.PromptTokens = len(d.c.prompt), n
 		d.g.ratio.learn(d.c.model, len(d.c.prompt), n)
 	}
 }
@@ -298,6 +301,7 @@
 		if !run.report.Answered {
 			run.report.Answered = true
 			run.report.FirstEvent = time.Since(run.sentAt)
+			run.grant.FirstEvent()
 		}
 		if d.next == 0 {
 			d.g.Metrics.firstToken(d.c.promptTokens, time.Since(d.c.arrived))
