--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -155,7 +155,7 @@
 		Config: p.config, Seats: p.seats, Members: p.members, Caller: p.links, Log: p.log,
 	}, p.server)
 	p.members.Attach(p.ledger.Attachment())
-	p.sweeper = sweep.New(sweep.Options{Ledger: p.ledger, Clients: p.clients.get, Config: p.config, Seats: p.seats, Log: p.log})
+	p.sweeper = sweep.New(sweep.Options{Ledger: p.ledger, Seats: p.seats, Client: p.clientOf, Log: p.log})
 	p.collector = load.NewCollector(load.Options{
 		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Zone: s.VM.Zone, Log: p.log,
 	})
@@ -279,6 +279,42 @@
 	return i.p.seats.AttemptPrefix()
 }
 
+// clientOf returns the client of a declared target, or nil.
+func (p *Process) clientOf(target string) engine.Client {
+	cfg := p.config.Current()
+	if cfg == nil {
+		return nil
+	}
+	t, ok := cfg.Targets[target]
+	if !ok {
+		return nil
+	}
+	return p.clients.get(t.Address)
+}
+
+// ordersTarget says whether this VM holds the first held seat of a target. It
+// spares the store conflicts; the order lease is what makes orders safe.
+func (p *Process) ordersTarget(target string) bool {
+	for _, f := range p.ledger.Followed() {
+		if f.Target != target {
+			continue
+		}
+		for _, index := range f.Order {
+			if address, _, ok := p.seats.HolderOf(index); ok {
+				return address == p.members.Self().Address
+			}
+		}
+	}
+	return false
+}
+
+// Warm says whether this VM uses the warm share of an engine.
+func (p *Process) Warm(target string) bool {
+	cfg := p.config.Current()
+	t := cfg.Targets[target]
+	return p.ledger.Room(target).Tokens*cfg.SharesPerTarget > t.KVTokens/2
+}
+
 // mayStart returns an error while this VM may not start new work.
 func (p *Process) mayStart() error {
 	_, err := identity{p}.AttemptPrefix()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -67,7 +67,7 @@
 		p.admission.Run,
 		p.claims.Run,
 		p.cleanClaims,
-		func(ctx context.Context) { p.orders.Run(ctx, p.config, p.clients.get, p.sweeper.First) },
+		func(ctx context.Context) { p.orders.Run(ctx, p.config, p.clients.get, p.ordersTarget) },
 	}
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -59,6 +59,7 @@
 	declared := a.holder.Current().Targets[best]
 	return &admission.Grant{
 		Target: best, Declared: declared, Client: a.clients(declared.Address),
+		Named: func(string) {}, FirstEvent: func() {},
 		Done: func(admission.Report) {
 			a.mu.Lock()
 			defer a.mu.Unlock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,19 +16,19 @@
 
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/resume"
+	"github.com/oriolefront/oriolefront/internal/scheduler"
 )
 
 // Settings are the settings of one entry process.
 type Settings struct {
-	VM       VM       `toml:"vm"`
-	Listen   Listen   `toml:"listen"`
-	Platform Platform `toml:"platform"`
-	Keys     Keys     `toml:"keys"`
-	Peers    Peers    `toml:"peers"`
-	Limits   Limits   `toml:"limits"`
-	Log      Log      `toml:"log"`
-	// Declarations is a file with the configuration to serve.
-	Declarations string `toml:"declarations"`
+	VM        VM        `toml:"vm"`
+	Listen    Listen    `toml:"listen"`
+	Platform  Platform  `toml:"platform"`
+	Keys      Keys      `toml:"keys"`
+	Peers     Peers     `toml:"peers"`
+	Limits    Limits    `toml:"limits"`
+	Scheduler Scheduler `toml:"scheduler"`
+	Log       Log       `toml:"log"`
 }
 
 // VM says where this process runs.
@@ -98,6 +98,13 @@
 	DrainDelay config.Duration `toml:"drain-delay"`
 }
 
+// Scheduler says how targets are chosen.
+type Scheduler struct {
+	// Policy is "estimate", or one of the baselines "least-in-flight" and
+	// "round-robin" that experiments compare with. Default "estimate".
+	Policy string `toml:"policy"`
+}
+
 // Log says what is logged.
 type Log struct {
 	// Level is debug, info, warn or error. Default "info".
@@ -160,7 +167,8 @@
 			DrainTimeout:  config.Duration(15 * time.Minute),
 			DrainDelay:    config.Duration(2 * time.Second),
 		},
-		Log: Log{Level: "info"},
+		Scheduler: Scheduler{Policy: scheduler.DefaultPolicy().Name},
+		Log:       Log{Level: "info"},
 	}
 }
 
@@ -208,6 +216,8 @@
 	c.checkKeys(s.Keys)
 	c.checkPeers(s)
 	c.checkLimits(s.Limits)
+	_, err = scheduler.PolicyNamed(s.Scheduler.Policy)
+	c.require(err == nil && s.Scheduler.Policy != "", "scheduler.policy", s.Scheduler.Policy, strings.Join(scheduler.PolicyNames(), ", "))
 	levels := []string{"debug", "info", "warn", "error"}
 	c.require(strings.Contains(" "+strings.Join(levels, " ")+" ", " "+s.Log.Level+" "), "log.level", s.Log.Level, strings.Join(levels, ", "))
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,7 @@
 		"wrong unit":           {"[vm]", "[limits]\nheader-timeout = \"5\"\n[vm]", "limits.header-timeout", "5"},
 		"wrong type":           {"[vm]", "[limits]\nbody-bytes = \"5 MB\"\n[vm]", "limits.body-bytes", "line"},
 		"held below body":      {"[vm]", "[limits]\nheld-bytes = 1\n[vm]", "limits.held-bytes", "1"},
+		"policy":               {"[vm]", "[scheduler]\npolicy = \"best\"\n[vm]", "scheduler.policy", "best"},
 		"log level":            {"[vm]", "[log]\nlevel = \"loud\"\n[vm]", "log.level", "loud"},
 		"syntax":               {"[vm]", "[vm", "", "line"},
 	} {
