--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -101,7 +101,7 @@
 	})
 	// The start number orders the lives of a VM at one address. VMs have no
 	// disk, so it comes from the wall clock.
-	self := membership.Instance{Address: s.Listen.Peers, StartNumber: uint64(time.Now().UnixNano())}
+	self := membership.Instance{Address: s.Listen.PeerAddress(), StartNumber: uint64(time.Now().UnixNano())}
 	p.members = membership.New(membership.Options{
 		Self:   self,
 		Zone:   s.VM.Zone,
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -56,7 +56,7 @@
 // second after a moment.
 func (l *Lab) MostStoreCalls(since time.Time) (reads, writes int) {
 	for _, s := range l.Table.Record().Seconds {
-		if s.Unix < since.Unix() {
+		if s.Second < since.Unix() {
 			continue
 		}
 		reads = max(reads, s.Reads)
--- a/internal/lab/entry.go
+++ b/internal/lab/entry.go
@@ -49,7 +49,7 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	e := &Entry{Settings: s, Process: process, stop: stop, done: make(chan error, 1)}
-	l.VMs.Register(store.VM{Address: s.VM.Address, Peer: s.Listen.Peers, Zone: s.VM.Zone, State: "live"})
+	l.VMs.Register(store.VM{Address: s.VM.Address, Peer: s.Listen.PeerAddress(), Zone: s.VM.Zone, State: "live"})
 	go func() { e.done <- process.Run(ctx) }()
 	l.Entries = append(l.Entries, e)
 	return e, nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,17 @@
 	Operators string `toml:"operators"`
 	// Peers is for the links between VMs. Required.
 	Peers string `toml:"peers"`
+	// AdvertisePeers is the address at which other VMs reach Peers, where that
+	// differs. Default: the value of peers.
+	AdvertisePeers string `toml:"advertise-peers"`
+}
+
+// PeerAddress returns the address at which other VMs reach this one.
+func (l Listen) PeerAddress() string {
+	if l.AdvertisePeers != "" {
+		return l.AdvertisePeers
+	}
+	return l.Peers
 }
 
 // Platform holds the base URLs of the platform's services.
@@ -236,6 +247,8 @@
 		}
 		seen[a.value] = a.key
 	}
+	_, err := netip.ParseAddrPort(l.PeerAddress())
+	c.require(err == nil, "listen.advertise-peers", l.AdvertisePeers, "an IP address and a port, or nothing")
 }
 
 func (c *checker) checkURL(key, value string) {
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,453 @@
+// Package fleet starts real entry processes and stand-ins for tests, with a
+// fault-injecting proxy on each entry process's way to the store, to its
+// peers and to the engines.
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/faultproxy"
+	"github.com/oriolefront/oriolefront/internal/standin"
+)
+
+// Keys of the fleet.
+const (
+	AccountKey  = "fleet-account-key"
+	OtherKey    = "fleet-other-account-key"
+	OperatorKey = "fleet-operator-key"
+)
+
+// Options describe a fleet.
+type Options struct {
+	Engines int
+	Entries int
+	Plains  int
+	// EngineLines are added to each engine of the stand-ins' world file.
+	EngineLines string
+	// TargetLines are added to each engine's declaration.
+	TargetLines string
+	// ExtraDeclarations are added to the declarations.
+	ExtraDeclarations string
+}
+
+// Engine is an engine stand-in as seen from outside.
+type Engine struct {
+	Name, Zone, Address string
+}
+
+// Plain is a stand-in of a plain service.
+type Plain struct {
+	Name, Address string
+}
+
+// Entry is an entry process.
+type Entry struct {
+	Callers, Operators, Peers string
+	// StoreProxy is between the process and the table service, PeerProxy
+	// between other processes and this one.
+	StoreProxy, PeerProxy *faultproxy.Proxy
+
+	fleet  *Fleet
+	file   string
+	number int
+	cmd    *exec.Cmd
+	output *output
+	exited chan error
+}
+
+// Fleet is a set of running processes.
+type Fleet struct {
+	Engines []Engine
+	Plains  []Plain
+	Entries []*Entry
+
+	Table, Objects, VMs string // addresses
+
+	t            *testing.T
+	dir          string
+	declarations string
+	bin          binaries
+}
+
+type binaries struct{ entry, standin, ctl string }
+
+var (
+	buildOnce sync.Once
+	built     binaries
+	buildErr  error
+)
+
+// build compiles the programs once for each test binary.
+func build(t *testing.T) binaries {
+	t.Helper()
+	buildOnce.Do(func() {
+		dir, err := os.MkdirTemp("", "oriolefront-test-")
+		if err != nil {
+			buildErr = err
+			return
+		}
+		for name, path := range map[string]*string{"oriolefront": &built.entry, "oriolestandin": &built.standin, "oriolectl": &built.ctl} {
+			*path = filepath.Join(dir, name)
+			out, err := exec.Command("go", "build", "-o", *path, "github.com/oriolefront/oriolefront/cmd/"+name).CombinedOutput()
+			if err != nil {
+				buildErr = fmt.Errorf("build %s: %w: %s", name, err, out)
+				return
+			}
+		}
+	})
+	assert.NilError(t, buildErr)
+	return built
+}
+
+// FreeAddress returns a loopback address that nobody listens on at present.
+func FreeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+var zones = []string{"iasi", "suceava", "bacau"}
+
+// Start starts a fleet, submits its configuration and waits until every entry
+// process is ready.
+func Start(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, dir: t.TempDir(), bin: build(t)}
+	f.startStandIns(o)
+	for range o.Entries {
+		f.AddEntry()
+	}
+	for _, e := range f.Entries {
+		Eventually(t, 10*time.Second, "operators' interface answers", func() bool {
+			resp, err := http.Get("http://" + e.Operators + "/status")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return true
+		})
+	}
+	f.declarations = f.write("declarations.toml", f.declare(o))
+	f.Ctl(0, "-yes", "apply", f.declarations)
+	for _, e := range f.Entries {
+		e.AwaitReady(30 * time.Second)
+	}
+	return f
+}
+
+func (f *Fleet) startStandIns(o Options) {
+	f.Table, f.Objects, f.VMs = FreeAddress(f.t), FreeAddress(f.t), FreeAddress(f.t)
+	world := fmt.Sprintf("[table]\nlisten = %q\n[objects]\nlisten = %q\n[vms]\nlisten = %q\n", f.Table, f.Objects, f.VMs)
+	for i := range o.Engines {
+		e := Engine{Name: fmt.Sprintf("e%d", i), Zone: zones[i%len(zones)], Address: FreeAddress(f.t)}
+		f.Engines = append(f.Engines, e)
+		world += fmt.Sprintf(`
+[[engine]]
+name = %q
+listen = %q
+kv-tokens = 400000
+prefill-tokens-per-second = 200000
+decode-tokens-per-second = 200
+max-running = 32
+cold-running = 2
+models = ["catalogue"]
+%s
+`, e.Name, e.Address, o.EngineLines)
+	}
+	for i := range o.Plains {
+		p := Plain{Name: fmt.Sprintf("p%d", i), Address: FreeAddress(f.t)}
+		f.Plains = append(f.Plains, p)
+		world += fmt.Sprintf("\n[[plain]]\nname = %q\nlisten = %q\n", p.Name, p.Address)
+	}
+	f.run(f.bin.standin, "-world", f.write("world.toml", world))
+	Eventually(f.t, 10*time.Second, "stand-ins answer", func() bool {
+		resp, err := http.Get("http://" + f.VMs + "/vms")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return true
+	})
+}
+
+func (f *Fleet) declare(o Options) string {
+	text := fmt.Sprintf(`
+seats = %d
+[contract.standard]
+deadline = "20s"
+[account.librarians]
+contract = "standard"
+key-hashes = [%q]
+[account.stewards]
+contract = "standard"
+key-hashes = [%q]
+[service.lm]
+kind = "model"
+[route.lm]
+model = "catalogue"
+service = "lm"
+[service.lending]
+kind = "plain"
+[route.lending]
+model = "lending"
+service = "lending"
+%s
+`, o.Entries, auth.KeyHash(AccountKey), auth.KeyHash(OtherKey), o.ExtraDeclarations)
+	for _, zone := range zones {
+		text += fmt.Sprintf("[zone.%s]\nregion = \"ro-moldova\"\n", zone)
+	}
+	for _, e := range f.Engines {
+		text += fmt.Sprintf(`
+[target.%s]
+service = "lm"
+zone = %q
+address = %q
+models = ["catalogue"]
+kv-tokens = 400000
+prefill-tokens-per-second = 200000
+decode-tokens-per-second = 200
+max-running = 32
+cold-running = 2
+%s
+`, e.Name, e.Zone, e.Address, o.TargetLines)
+	}
+	for i, p := range f.Plains {
+		text += fmt.Sprintf("\n[target.%s]\nservice = \"lending\"\nzone = %q\naddress = %q\nmax-running = 32\n", p.Name, zones[i%len(zones)], p.Address)
+	}
+	return text
+}
+
+func (f *Fleet) write(name, text string) string {
+	f.t.Helper()
+	file := filepath.Join(f.dir, name)
+	assert.NilError(f.t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// output keeps the end of what a process wrote.
+type output struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+const keptOutput = 64 << 10
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.text = append(o.text, p...)
+	if len(o.text) > keptOutput {
+		o.text = o.text[len(o.text)-keptOutput:]
+	}
+	return len(p), nil
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.text)
+}
+
+// run starts a process and ends it with the test.
+func (f *Fleet) run(bin string, args ...string) (*exec.Cmd, *output, chan error) {
+	cmd := exec.Command(bin, args...)
+	out := &output{}
+	cmd.Stderr = out
+	assert.NilError(f.t, cmd.Start())
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	f.t.Cleanup(func() {
+		cmd.Process.Signal(syscall.SIGCONT)
+		cmd.Process.Kill()
+		if f.t.Failed() && os.Getenv("FLEET_LOGS") != "" {
+			f.t.Logf("%s: %s", filepath.Base(bin), out)
+		}
+	})
+	return cmd, out, exited
+}
+
+// AddEntry starts one more entry process and puts it on the VM list.
+func (f *Fleet) AddEntry() *Entry {
+	f.t.Helper()
+	e := &Entry{
+		Callers: FreeAddress(f.t), Operators: FreeAddress(f.t), Peers: FreeAddress(f.t),
+		fleet: f, number: len(f.Entries),
+	}
+	e.StoreProxy = f.proxy(f.Table)
+	e.PeerProxy = f.proxy(e.Peers)
+	zone := zones[e.number%len(zones)]
+	e.file = f.write(fmt.Sprintf("entry%d.toml", e.number), fmt.Sprintf(`
+[vm]
+address = "127.0.0.1"
+zone = %q
+[listen]
+callers = %q
+operators = %q
+peers = %q
+advertise-peers = %q
+[platform]
+table = "http://%s"
+objects = "http://%s"
+vms = "http://%s"
+[keys]
+resume = %q
+operators = { fleet = %q }
+[peers]
+plaintext = true
+[limits]
+drain-delay = "100ms"
+`, zone, e.Callers, e.Operators, e.Peers, e.PeerProxy.Address(), e.StoreProxy.Address(), f.Objects, f.VMs,
+		strings.Repeat("0f", 32), auth.KeyHash(OperatorKey)))
+	f.Register(e, zone)
+	e.Start()
+	f.Entries = append(f.Entries, e)
+	return e
+}
+
+func (f *Fleet) proxy(target string) *faultproxy.Proxy {
+	p, err := faultproxy.Start(target)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { p.Close() })
+	return p
+}
+
+// Register puts an entry process on the platform's VM list.
+func (f *Fleet) Register(e *Entry, zone string) {
+	f.Control(f.VMs, map[string]any{"register": map[string]any{
+		"address": "127.0.0.1", "peer": e.PeerProxy.Address(), "zone": zone, "state": "live",
+	}})
+}
+
+// Unregister takes an entry process off the platform's VM list.
+func (f *Fleet) Unregister(e *Entry) {
+	f.Control(f.VMs, map[string]any{"remove": e.PeerProxy.Address()})
+}
+
+// Control posts to the control interface of a stand-in.
+func (f *Fleet) Control(address string, body any) {
+	f.t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(f.t, err)
+	resp, err := http.Post("http://"+address+"/control", "application/json", bytes.NewReader(data))
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	assert.Assert(f.t, resp.StatusCode < 300, string(text))
+}
+
+// Ctl runs oriolectl against one entry process and requires success.
+func (f *Fleet) Ctl(entry int, args ...string) string {
+	f.t.Helper()
+	out, code := f.CtlCode(entry, args...)
+	assert.Equal(f.t, code, 0, out)
+	return out
+}
+
+// CtlCode runs oriolectl and returns its output and exit code.
+func (f *Fleet) CtlCode(entry int, args ...string) (string, int) {
+	f.t.Helper()
+	cmd := exec.Command(f.bin.ctl, append([]string{"-servers", "http://" + f.Entries[entry].Operators}, args...)...)
+	cmd.Env = append(os.Environ(), "ORIOLECTL_KEY="+OperatorKey)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// Start starts the process, or starts it again.
+func (e *Entry) Start() {
+	e.cmd, e.output, e.exited = e.fleet.run(e.fleet.bin.entry, "-settings", e.file)
+}
+
+// Kill ends the process at once.
+func (e *Entry) Kill() {
+	e.cmd.Process.Kill()
+	<-e.exited
+}
+
+// Freeze stops the process without its knowledge until Thaw.
+func (e *Entry) Freeze() { e.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (e *Entry) Thaw() { e.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Stop asks for a graceful shutdown and returns a channel with its end.
+func (e *Entry) Stop() <-chan error {
+	e.cmd.Process.Signal(syscall.SIGTERM)
+	return e.exited
+}
+
+// Log returns the end of the process's log.
+func (e *Entry) Log() string { return e.output.String() }
+
+// AwaitReady waits until the process takes new requests.
+func (e *Entry) AwaitReady(timeout time.Duration) {
+	e.fleet.t.Helper()
+	reason := "no answer"
+	deadline := time.Now().Add(timeout)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get("http://" + e.Callers + "/readyz")
+		if err == nil {
+			text, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+			reason = string(text)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.fleet.t.Fatalf("entry process %d is not ready: %s\n%s", e.number, reason, e.Log())
+}
+
+// Record is the log of an engine stand-in.
+type Record struct {
+	Summary standin.Summary
+	Entries []standin.Entry
+}
+
+// Record fetches the log of an engine.
+func (f *Fleet) Record(e Engine) Record {
+	f.t.Helper()
+	var r Record
+	f.GetJSON("http://"+e.Address+"/record", &r)
+	return r
+}
+
+// GetJSON decodes the answer to a GET.
+func (f *Fleet) GetJSON(url string, into any) {
+	f.t.Helper()
+	resp, err := http.Get(url)
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	assert.NilError(f.t, json.NewDecoder(resp.Body).Decode(into))
+}
+
+// Eventually waits for a condition that processes bring about.
+func Eventually(t *testing.T, timeout time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(timeout)
+	for time.Now().Before(deadline) {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("did not happen within %s: %s", timeout, what)
+}
