Make the order of questions to peers repeatable

Cause: a failure of the seat simulation could not be repeated from its seed, because heartbeats ran concurrently and relay peers were shuffled.

Change: the option Sequential asks one peer after the other; relay peers come in an order that depends on the own address only. Compile-time checks tie the types to their interfaces.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -35,6 +35,8 @@
 	errQueueFull = errors.New("send queue is full; the peer reads too slowly")
 )
 
+var _ Caller = (*Client)(nil)
+
 // Client sends messages to other VMs over one connection for each peer.
 type Client struct {
 	counters
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -36,6 +36,8 @@
 	HandshakeTimeout = 3 * time.Second
 )
 
+var _ Registrar = (*Server)(nil)
+
 // Server answers messages of other VMs.
 type Server struct {
 	counters
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +23,8 @@
 func (v *View) startBeats(ctx context.Context, running *sync.WaitGroup) {
 	v.mu.Lock()
 	var targets []string
-	for address, p := range v.peers {
-		if !p.beating {
+	for _, address := range slices.Sorted(maps.Keys(v.peers)) {
+		if p := v.peers[address]; !p.beating {
 			p.beating = true
 			targets = append(targets, address)
 		}
@@ -33,13 +35,22 @@
 	}
 	h := v.heartbeat()
 	for _, address := range targets {
-		running.Go(func() {
+		v.start(running, func() {
 			v.beat(ctx, address, h)
 			v.endBeat(address)
 		})
 	}
 }
 
+// start runs f in a goroutine, or at once if the View is sequential.
+func (v *View) start(running *sync.WaitGroup, f func()) {
+	if v.o.Sequential {
+		f()
+		return
+	}
+	running.Go(f)
+}
+
 func (v *View) endBeat(address string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -184,10 +195,7 @@
 	ctx, cancel := context.WithTimeout(ctx, v.o.CallTimeout)
 	defer cancel()
 	v.mu.Lock()
-	targets := make([]string, 0, len(v.peers))
-	for address := range v.peers {
-		targets = append(targets, address)
-	}
+	targets := slices.Sorted(maps.Keys(v.peers))
 	v.mu.Unlock()
 	var (
 		mu      sync.Mutex
@@ -195,7 +203,7 @@
 		running sync.WaitGroup
 	)
 	for _, address := range targets {
-		running.Go(func() {
+		v.start(&running, func() {
 			var r lastHeardReply
 			if err := v.o.Caller.Call(ctx, address, KindLastHeard, &lastHeardRequest{i}, &r); err != nil {
 				return
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -229,7 +228,7 @@
 }
 
 // StorePeers returns the addresses of peers that had own store contact lately,
-// in random order, for the relay of renewals.
+// for the relay of renewals, in an order that differs between VMs.
 func (v *View) StorePeers() []string {
 	now := v.Now()
 	v.mu.Lock()
@@ -240,8 +239,9 @@
 			out = append(out, address)
 		}
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
+	slices.Sort(out)
+	after, _ := slices.BinarySearch(out, v.o.Self.Address)
+	return slices.Concat(out[after:], out[:after])
 }
 
 // Refresh recomputes the snapshot and calls the OnUpdate functions.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -85,6 +85,9 @@
 	CallTimeout   time.Duration
 	ListInterval  time.Duration
 	AbsentWindow  time.Duration
+	// Sequential asks one peer after the other, so that a simulation can be
+	// repeated from its seed.
+	Sequential bool
 	// Now returns monotonic time since a fixed moment; nil selects the clock
 	// of the process.
 	Now func() time.Duration
@@ -115,6 +118,8 @@
 	}
 }
 
+var _ Reader = (*View)(nil)
+
 // View implements Reader.
 //
 // Contact with a peer counts from the moment at which a heartbeat that the peer
