--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -65,9 +65,9 @@
 		key, found = KeySharesPerTarget, next.SharesPerTarget
 	}
 	for _, c := range []*Config{base, next} {
-		working := c.workingTargets()
+		working := base.known(c.workingTargets(), c)
 		v.require(len(working) == 0, key, fmt.Sprintf("%d while %s may get work", found, strings.Join(working, ", ")),
-			"a change while every target is leaving or in a zone out of service, before and after the patch")
+			"a change while every target is leaving or in a zone out of service, before and after the patch; the patch may add targets")
 		if len(working) > 0 {
 			break
 		}
@@ -75,12 +75,30 @@
 	return v.problems
 }
 
+// known returns those of the targets of next that c declares too, by name or
+// by address. A target that is new gets no work from VMs that still compute
+// with the numbers of c.
+func (c *Config) known(names []string, next *Config) []string {
+	addresses := map[string]bool{}
+	for _, t := range c.Targets {
+		addresses[t.Address] = true
+	}
+	var known []string
+	for _, name := range names {
+		_, declared := c.Targets[name]
+		if declared || addresses[next.Targets[name].Address] {
+			known = append(known, "target/"+name)
+		}
+	}
+	return known
+}
+
 func (c *Config) workingTargets() []string {
 	var working []string
 	for _, name := range sortedKeys(c.Targets) {
 		t := c.Targets[name]
 		if !t.Leaving && !c.Zones[t.Zone].OutOfService {
-			working = append(working, "target/"+name)
+			working = append(working, name)
 		}
 	}
 	return working
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -123,7 +123,7 @@
 		Objects:      p.store.Objects(),
 		Holder:       p.config,
 		Caller:       p.links,
-		Quorum:       p.members.Quorum,
+		Quorum:       p.maySubmit,
 		Peers:        p.members.Peers,
 		HeldSeats:    p.seats.Occupied,
 		StoreContact: p.members.NoteStoreContact,
@@ -249,14 +249,22 @@
 	return fmt.Sprintf("%s#%d", self.Address, self.StartNumber)
 }
 
+// configuredSeats returns the number of seats; there are none before the first
+// patch, which may set their number.
 func (p *Process) configuredSeats() int {
 	cfg := p.config.Current()
-	if cfg == nil {
+	if cfg == nil || cfg.Version == 0 {
 		return 0
 	}
 	return cfg.Seats
 }
 
+// maySubmit says whether this VM may accept patches. The first patch needs no
+// quorum: nothing is declared, so no VM can work by an older version.
+func (p *Process) maySubmit() bool {
+	return p.syncer.Head().Version == 0 || p.members.Quorum()
+}
+
 // seatCounts returns the seats of this VM and those held by all VMs.
 func (p *Process) seatCounts() (own, held int) {
 	return len(p.seats.Seats()), p.seats.Occupied()
