--- /dev/null
+++ b/cmd/orioleload/main.go
@@ -0,0 +1,118 @@
+// Command orioleload generates load on entry processes and runs the
+// experiments of the project.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/loadgen"
+	"github.com/oriolefront/oriolefront/internal/measure"
+)
+
+const usageText = `orioleload generates load and runs experiments.
+
+usage:
+  orioleload measure [-seed N] [-short] [NAME...]
+        runs the named experiments, or all, in one process on loopback, and
+        prints lines measure=NAME policy=P value=V unit=U ok=true|false
+  orioleload run [flags] ENTRY...
+        sends an open-loop load to entry processes (IP:port)
+
+exit codes: 0 every figure met its target, 1 an experiment failed to run or a
+figure missed its target, 2 wrong usage
+
+`
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if len(args) == 0 {
+		fmt.Fprint(os.Stderr, usageText)
+		return 2
+	}
+	switch args[0] {
+	case "measure":
+		return runMeasure(ctx, args[1:])
+	case "run":
+		return runLoad(ctx, args[1:])
+	case "-h", "-help", "--help", "help":
+		fmt.Print(usageText)
+		return 0
+	}
+	fmt.Fprint(os.Stderr, usageText)
+	return 2
+}
+
+func runMeasure(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("measure", flag.ExitOnError)
+	seed := flags.Uint64("seed", 1, "`seed` of arrivals and prompts")
+	short := flags.Bool("short", false, "cut runs to a third of their length")
+	flags.Parse(args)
+	known := map[string]bool{}
+	var names []string
+	for _, m := range measure.All() {
+		known[m.Name] = true
+		names = append(names, m.Name)
+	}
+	for _, name := range flags.Args() {
+		if !known[name] {
+			fmt.Fprintf(os.Stderr, "unknown experiment %q, allowed: %s\n", name, strings.Join(names, ", "))
+			return 2
+		}
+	}
+	env := &measure.Env{Seed: *seed, Short: *short, Out: os.Stdout}
+	ok, err := measure.Run(ctx, env, flags.Args())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if !ok {
+		return 1
+	}
+	return 0
+}
+
+func runLoad(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("run", flag.ExitOnError)
+	model := flags.String("model", "catalogue", "`model` to ask for")
+	rate := flags.Float64("rate", 10, "requests a second")
+	length := flags.Duration("duration", 10*time.Second, "length of the run")
+	low := flags.Int("min-tokens", 1000, "shortest prompt in tokens")
+	high := flags.Int("max-tokens", 4000, "longest prompt in tokens")
+	output := flags.Int("output", 16, "length of an answer in tokens")
+	readDelay := flags.Duration("read-delay", 0, "time that a slow reader waits after each event")
+	seed := flags.Uint64("seed", 1, "`seed` of arrivals and prompts")
+	flags.Usage = func() {
+		fmt.Fprintln(flags.Output(), "usage: orioleload run [flags] ENTRY...\n\nThe account key comes from the environment variable ORIOLELOAD_KEY.")
+		flags.PrintDefaults()
+	}
+	flags.Parse(args)
+	key := os.Getenv("ORIOLELOAD_KEY")
+	if flags.NArg() == 0 || key == "" {
+		flags.Usage()
+		return 2
+	}
+	summary := loadgen.Run(ctx, loadgen.NewClient(flags.Args(), key), loadgen.Load{
+		Model: *model, PerSecond: *rate, Duration: *length, Seed: *seed, Name: fmt.Sprintf("run-%d", time.Now().UnixNano()),
+		Mix: []loadgen.Kind{{Name: "run", Weight: 1, MinTokens: *low, MaxTokens: *high, Output: *output, ReadDelay: *readDelay}},
+	})
+	fmt.Println(summary)
+	for _, q := range []float64{50, 95, 99} {
+		fmt.Printf("first_token_p%g=%s\n", q, summary.FirstToken("run", q))
+	}
+	if summary.Whole < summary.Sent {
+		return 1
+	}
+	return 0
+}
