Keep engine connections open after an answer

Cause: the body was closed after the end mark without its last bytes, so each answer cost a new connection. Ruled out: admission, which waits 25 us at the median. The client now reads the end of the body.

--- a/cmd/orioleload/main.go
+++ b/cmd/orioleload/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/loadgen"
+	"github.com/oriolefront/oriolefront/internal/logging"
 	"github.com/oriolefront/oriolefront/internal/measure"
 )
 
@@ -58,6 +59,7 @@
 	flags := flag.NewFlagSet("measure", flag.ExitOnError)
 	seed := flags.Uint64("seed", 1, "`seed` of arrivals and prompts")
 	short := flags.Bool("short", false, "cut runs to a third of their length")
+	logFile := flags.String("log", "", "`file` for the log of the entry processes")
 	flags.Parse(args)
 	known := map[string]bool{}
 	var names []string
@@ -72,6 +74,18 @@
 		}
 	}
 	env := &measure.Env{Seed: *seed, Short: *short, Out: os.Stdout}
+	if *logFile != "" {
+		file, err := os.Create(*logFile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+		defer file.Close()
+		if env.Log, err = logging.New(file, "info"); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+	}
 	ok, err := measure.Run(ctx, env, flags.Args())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/engine/body.go
+++ b/internal/engine/body.go
@@ -71,7 +71,8 @@
 
 func appendOptions(body []byte, o Options) []byte {
 	body = append(body, `"stream":true,"request_id":`...)
-	body = strconv.AppendQuote(body, o.Attempt)
+	attempt, _ := json.Marshal(o.Attempt) // a string always encodes
+	body = append(body, attempt...)
 	body = appendIntField(body, "priority", o.Priority)
 	body = appendIntField(body, "continue_from", o.ContinueFrom)
 	body = appendIntField(body, "max_tokens", o.MaxTokens)
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -31,6 +31,12 @@
 const (
 	maxErrorBodyBytes = 4 << 10
 	endMark           = "[DONE]"
+	// streamBuffer is held twice for each open stream. Events are far smaller,
+	// and large bodies are written past it.
+	streamBuffer = 2 << 10
+	// maxTrailerBytes is read after the end mark, so that the connection can be
+	// used again.
+	maxTrailerBytes = 1 << 10
 )
 
 // NewTransport returns the HTTP transport that all engine clients share.
@@ -40,7 +46,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
-		ReadBufferSize:      4 << 10,
+		ReadBufferSize:      streamBuffer,
+		WriteBufferSize:     streamBuffer,
 	}
 }
 
@@ -219,13 +226,20 @@
 	reader       *sse.Reader
 	startNumber  uint64
 	promptTokens int
+	ended        bool // the end mark was read
 }
 
 func (s *httpStream) PromptTokens() int { return s.promptTokens }
 
 func (s *httpStream) StartNumber() uint64 { return s.startNumber }
 
-func (s *httpStream) Close() error { return s.body.Close() }
+func (s *httpStream) Close() error {
+	if s.ended {
+		// A body that was not read to its end would cost the connection.
+		io.CopyN(io.Discard, s.body, maxTrailerBytes)
+	}
+	return s.body.Close()
+}
 
 func (s *httpStream) Next() (Event, error) {
 	raw, err := s.reader.Next()
@@ -236,6 +250,7 @@
 		return Event{}, merry.Prepend(ErrInterrupted, err.Error())
 	}
 	if string(raw.Data) == endMark {
+		s.ended = true
 		return Event{}, io.EOF
 	}
 	index, err := sse.ParseID(raw.ID)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -320,7 +320,8 @@
 func (p *Process) Warm(target string) bool {
 	cfg := p.config.Current()
 	t := cfg.Targets[target]
-	return p.ledger.Room(target).Tokens*cfg.SharesPerTarget > t.KVTokens/2
+	room := p.ledger.Room(target)
+	return room.Tokens*cfg.SharesPerTarget > t.KVTokens/2 && room.Slots*cfg.SharesPerTarget > t.MaxRunning/2
 }
 
 // mayStart returns an error while this VM may not start new work.
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -115,7 +116,13 @@
 	default:
 		s.Broken++
 	}
-	s.Errors[r.Error]++
+	s.Errors[errorKind(r.Error)]++
+}
+
+// errorKind shortens an error to the part before its details.
+func errorKind(text string) string {
+	kind, _, _ := strings.Cut(text, ":")
+	return kind
 }
 
 // FirstToken returns a percentile of the time to first token of a kind.
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"slices"
 	"sort"
 	"sync"
@@ -40,6 +41,8 @@
 	// Short cuts the length of runs to a third, for a quick look.
 	Short bool
 	Out   io.Writer
+	// Log takes the log of all entry processes; nil discards it.
+	Log   *slog.Logger
 	lines []Line
 }
 
@@ -49,6 +52,14 @@
 	fmt.Fprintln(e.Out, l)
 }
 
+// start starts a lab that logs to e.Log.
+func (e *Env) start(ctx context.Context, o lab.Options) (*lab.Lab, error) {
+	if e.Log != nil {
+		o.Log = e.Log
+	}
+	return lab.Start(ctx, o)
+}
+
 // duration scales the length of a run.
 func (e *Env) duration(d time.Duration) time.Duration {
 	if e.Short {
--- a/internal/measure/memory.go
+++ b/internal/measure/memory.go
@@ -32,11 +32,14 @@
 	o.Engine.KVTokens = 4_000_000
 	o.Engine.ColdFor = 0
 	o.Engine.DecodeTokensPerSecond = 200
-	l, err := lab.Start(ctx, o)
+	l, err := e.start(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
+	if err := l.WarmUp(ctx); err != nil {
+		return err
+	}
 	short := &samples{kind: kindShort}
 	client := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
 	phase := e.duration(20 * time.Second)
@@ -117,7 +120,7 @@
 func memoryLeak(ctx context.Context, e *Env) error {
 	o := lab.Pilbara()
 	o.Engine.DecodeTokensPerSecond = 100
-	l, err := lab.Start(ctx, o)
+	l, err := e.start(ctx, o)
 	if err != nil {
 		return err
 	}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -13,6 +13,9 @@
 // MaxEventBytes bounds one event; a longer one is refused by Reader.
 const MaxEventBytes = 1 << 20
 
+// initialBuffer is held for each open stream and grows for longer events.
+const initialBuffer = 1 << 10
+
 // ErrEventTooLong reports an event longer than MaxEventBytes.
 var ErrEventTooLong = errors.New("server-sent event exceeds 1 MiB")
 
@@ -30,7 +33,7 @@
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
 	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 4096), MaxEventBytes)
+	s.Buffer(make([]byte, 0, initialBuffer), MaxEventBytes)
 	return &Reader{scanner: s}
 }
 
