--- /dev/null
+++ b/internal/demo/commands.go
@@ -0,0 +1,66 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/oriolefront/oriolefront/internal/lab"
+)
+
+// requestBody is the streamed request that the demo shows and -once sends.
+const requestBody = `{"model":"` + lab.Model + `","prompt":"Which stops lend atlases on Tuesday?","max_tokens":12,"stream":true}`
+
+// printCommands prints where the fleet is reached and what to paste.
+func printCommands(w io.Writer, l *lab.Lab) {
+	fmt.Fprint(w, "\naddresses:\n")
+	var operators []string
+	for i, e := range l.Entries {
+		s := e.Settings
+		fmt.Fprintf(w, "  entry process %d, zone %s: callers http://%s operators http://%s\n", i, s.VM.Zone, s.Listen.Callers, s.Listen.Operators)
+		operators = append(operators, "http://"+s.Listen.Operators)
+	}
+	callers := "http://" + l.Entries[0].Settings.Listen.Callers
+	zone := l.Options.Zones[0]
+	ctl := "go run ./cmd/oriolectl -servers " + strings.Join(operators, ",")
+	fmt.Fprintf(w, "keys:\n  account %s\n  operator %s\n", lab.AccountKey, lab.OperatorKey)
+	section(w, "a streamed request", fmt.Sprintf("curl -sN %s/v1/completions -H 'Authorization: Bearer %s' -d '%s'", callers, lab.AccountKey, requestBody))
+	section(w, "a call to the plain service, which runs at most once for its key",
+		fmt.Sprintf("curl -si %s/services/%s/loans -H 'Authorization: Bearer %s' -H 'Idempotency-Key: counter-7' -d 'atlas'", callers, lab.PlainName, lab.AccountKey))
+	section(w, "the configuration, then one zone out of service and back",
+		"export ORIOLECTL_KEY="+lab.OperatorKey, ctl+" status", ctl+" get", ctl+" -yes zone out "+zone, ctl+" -yes zone in "+zone)
+	section(w, "health and metrics", "curl -s "+callers+"/readyz", "curl -s "+callers+"/metrics")
+	fmt.Fprint(w, "\nserving; Ctrl-C ends it\n")
+}
+
+func section(w io.Writer, title string, commands ...string) {
+	fmt.Fprintf(w, "\n%s:\n", title)
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %s\n", c)
+	}
+}
+
+// ask sends the streamed request and copies its answer.
+func ask(ctx context.Context, callers string, w io.Writer) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers+"/v1/completions", strings.NewReader(requestBody))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+lab.AccountKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("send the request: %w", err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("read the answer: %w", err)
+	}
+	fmt.Fprintf(w, "%s", answer)
+	if !strings.Contains(string(answer), "data: [DONE]") {
+		return fmt.Errorf("the answer is not whole, HTTP status %d", resp.StatusCode)
+	}
+	return nil
+}
