--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,6 +43,9 @@
   zone out|in NAME     take a zone out of service, or bring it back
   target leave|join NAME   make a target leave, or bring it back
   patch show ID        show what became of a patch
+  key new              make a key of an operator or account, and its hash
+  certificate authority DIR   make an authority for the links between VMs
+  certificate vm DIR IP       make the certificate of one VM, signed by it
 
 The key of the operator comes from the environment variable ORIOLECTL_KEY or
 from the file given by -key-file.
@@ -175,8 +178,8 @@
 }
 
 func (p *program) execute(words []string) error {
-	if len(words) == 2 && words[0] == "check" {
-		return p.check(words[1])
+	if command := p.local(words); command != nil {
+		return command()
 	}
 	command, err := p.command(words)
 	if err != nil {
