--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/oriolefront/oriolefront/internal/apierror"
 	"github.com/oriolefront/oriolefront/internal/capacity"
 	"github.com/oriolefront/oriolefront/internal/config"
@@ -98,6 +100,8 @@
 	Policy scheduler.Policy
 	Log    *slog.Logger
 	Limits Limits
+	// Metrics is the set to register metrics in. Default: a set of its own.
+	Metrics *metrics.Set
 }
 
 // Controller admits work. Run must be called to serve the queue.
@@ -106,6 +110,8 @@
 	accounts *accountLimits
 	wake     chan struct{}
 	loans    *loans
+	metrics  *metrics.Set
+	waits    *metrics.Histogram
 
 	mu     sync.Mutex
 	queues map[string]*queue // by service
@@ -131,6 +137,10 @@
 		queues:   map[string]*queue{},
 	}
 	c.loans = newLoans(o.Capacity, c.kick)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	c.registerMetrics(o.Metrics)
 	return c
 }
 
@@ -170,8 +180,11 @@
 func (c *Controller) Admit(ctx context.Context, w *Work) (*Grant, error) {
 	arrived := time.Now()
 	grant, err := c.admit(ctx, w, arrived)
-	if err != nil {
+	if err == nil {
+		c.note(nil, time.Since(arrived))
+	} else {
 		refusal := asRetry(w, apierror.From(err))
+		c.note(refusal, 0)
 		err = refusal
 		c.options.Log.Info("admission refused", "request", w.RequestID, "account", w.Account, "service", w.Service,
 			"kind", refusal.Kind, "reason", refusal.Message, "cost_tokens", w.tokens(),
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -211,6 +211,7 @@
 	}
 	if s.state == nil || next.config.Version > s.state.config.Version {
 		s.state = next
+		s.installed = time.Now()
 	}
 	s.fault = nil
 	s.o.Log.Info("configuration in force", "version", s.state.config.Version, "hash", s.state.config.Hash)
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -102,6 +102,8 @@
 
 	mu    sync.Mutex
 	state *state
+	// installed is when the version in force was put in force here.
+	installed time.Time
 	heads map[string]Head // by peer address, from heartbeats
 	fault error           // why the state cannot be trusted or brought up to date
 
@@ -121,9 +123,21 @@
 	s.spread = o.Metrics.GetOrCreateHistogram("oriolefront_config_spread_seconds")
 	s.refused = o.Metrics.GetOrCreateCounter("oriolefront_config_refused_total")
 	o.Metrics.GetOrCreateGauge("oriolefront_config_version", func() float64 { return float64(s.Head().Version) })
+	o.Metrics.GetOrCreateGauge("oriolefront_config_age_seconds", s.age)
 	return s
 }
 
+// age returns the seconds since the version in force was put in force on this
+// VM, 0 before the first.
+func (s *Syncer) age() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.installed.IsZero() {
+		return 0
+	}
+	return time.Since(s.installed).Seconds()
+}
+
 // Head returns the version in force and its hash.
 func (s *Syncer) Head() Head {
 	if st := s.current(); st != nil {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -162,6 +162,7 @@
 	p.admission = admission.NewController(admission.Options{
 		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Collector: p.collector,
 		Verdict: p.members.Verdict, Seats: p.seatCounts, Policy: policy, Log: p.log,
+		Metrics: p.metrics,
 	})
 	p.members.Attach(p.admission.Attachment())
 	p.claims = claim.New(claim.Options{
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/oriolefront/oriolefront/internal/membership"
 	"github.com/oriolefront/oriolefront/internal/operator"
 )
 
@@ -36,20 +35,3 @@
 	}
 	return status
 }
-
-// registerMetrics adds the gauges that other packages do not register.
-func (p *Process) registerMetrics() {
-	p.metrics.NewGauge("oriolefront_seats", func() float64 { return float64(len(p.seats.Seats())) })
-	for _, v := range []membership.Verdict{membership.Isolated, membership.Connected, membership.Outage} {
-		p.metrics.NewGauge(fmt.Sprintf("oriolefront_verdict{verdict=%q}", v), func() float64 {
-			if p.members.Verdict() == v {
-				return 1
-			}
-			return 0
-		})
-	}
-	p.metrics.NewGauge("oriolefront_link_sent_bytes_total", func() float64 { return float64(p.LinkStats().BytesOut) })
-	p.metrics.NewGauge("oriolefront_link_received_bytes_total", func() float64 { return float64(p.LinkStats().BytesIn) })
-	p.metrics.NewGauge("oriolefront_store_reads_total", func() float64 { return float64(p.StoreStats().Table.Reads) })
-	p.metrics.NewGauge("oriolefront_store_writes_total", func() float64 { return float64(p.StoreStats().Table.Writes) })
-}
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/capacity"
@@ -63,6 +64,7 @@
 type Sweeper struct {
 	Options
 	slots chan struct{}
+	stats struct{ cancelled, deleted, failed atomic.Uint64 }
 
 	mu   sync.Mutex
 	last map[string]time.Time // start of the last sweep, by target
@@ -172,6 +174,7 @@
 	taken := s.Now()
 	inv, err := s.inventory(ctx, client)
 	if err != nil {
+		s.stats.failed.Add(1)
 		s.Log.Warn("inventory of target not read", "target", target, "error", err)
 		return
 	}
@@ -257,7 +260,7 @@
 	ctx, done := context.WithTimeout(ctx, callTimeout)
 	defer done()
 	err := client.Cancel(ctx, a.ID)
-	s.report("unowned attempt cancelled", err, "target", target, "attempt", a.ID,
+	s.report("unowned attempt cancelled", &s.stats.cancelled, err, "target", target, "attempt", a.ID,
 		"reason", reason, "idle", a.Idle, "kv_tokens", a.KVTokens)
 }
 
@@ -265,15 +268,29 @@
 	ctx, done := context.WithTimeout(ctx, callTimeout)
 	defer done()
 	err := client.DeleteExport(ctx, x.Handle)
-	s.report("unowned export deleted", err, "target", target, "export", x.Handle,
+	s.report("unowned export deleted", &s.stats.deleted, err, "target", target, "export", x.Handle,
 		"attempt", x.Attempt, "reason", reason, "age", x.Age, "kv_tokens", x.KVTokens)
 }
 
 // report logs an action, or that it failed and the next sweep repeats it.
-func (s *Sweeper) report(action string, err error, fields ...any) {
+func (s *Sweeper) report(action string, done *atomic.Uint64, err error, fields ...any) {
 	if err != nil {
+		s.stats.failed.Add(1)
 		s.Log.Warn(action+": failed, repeated by the next sweep", append(fields, "error", err)...)
 		return
 	}
+	done.Add(1)
 	s.Log.Info(action, fields...)
 }
+
+// Stats count what sweeps removed.
+type Stats struct {
+	Cancelled uint64 // attempts that nobody owned
+	Deleted   uint64 // exports that nobody owned
+	Failed    uint64 // inventories, cancellations and deletions that failed
+}
+
+// Stats returns the counters so far.
+func (s *Sweeper) Stats() Stats {
+	return Stats{Cancelled: s.stats.cancelled.Load(), Deleted: s.stats.deleted.Load(), Failed: s.stats.failed.Load()}
+}
--- /dev/null
+++ b/test/docs/watch_test.go
@@ -0,0 +1,88 @@
+// Package docs checks that the pages say what the programs do.
+package docs
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/lab"
+	"github.com/oriolefront/oriolefront/internal/loadgen"
+)
+
+var (
+	metricRow  = regexp.MustCompile("(?m)^\\| `(oriolefront_[a-z_]+)(?:{([a-z_,]+)})?` \\| [^|]+ \\| [^|]+ \\|$")
+	metricLine = regexp.MustCompile(`(?m)^(oriolefront_[a-z_]+)(?:{([^}]*)})? `)
+	labelName  = regexp.MustCompile(`([a-z_]+)="`)
+)
+
+// Guards against a metric that the page does not describe, and against a
+// described one that a running entry process does not expose.
+func TestWatchPageDescribesEveryMetric(t *testing.T) {
+	o := lab.Bibliobuz()
+	o.Entries, o.Engines = 2, 3
+	l, err := lab.Start(t.Context(), o)
+	assert.NilError(t, err)
+	defer l.Close()
+	client := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
+	for range 4 {
+		r := client.Do(t.Context(), loadgen.Request{ID: "watch", Model: lab.Model, PromptTokens: 100, MaxTokens: 2, Timeout: 10 * time.Second})
+		assert.Assert(t, r.Whole, "%+v", r)
+	}
+	assert.NilError(t, l.SetZone(t.Context(), o.Zones[0], true)) // the other VM measures its spread
+	page, err := os.ReadFile("../../docs/operate/watch.md")
+	assert.NilError(t, err)
+	described := map[string]bool{}
+	for _, row := range metricRow.FindAllStringSubmatch(string(page), -1) {
+		described[name(row[1], strings.Split(row[2], ","))] = true
+	}
+	var exposed map[string]bool
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		exposed = map[string]bool{}
+		for _, address := range l.CallerAddresses() {
+			scrape(t, address, exposed)
+		}
+		if len(exposed) == len(described) {
+			break
+		}
+	}
+	assert.DeepEqual(t, exposed, described)
+}
+
+// scrape adds the names of the metrics of one entry process, with their labels.
+func scrape(t *testing.T, address string, into map[string]bool) {
+	t.Helper()
+	resp, err := http.Get("http://" + address + "/metrics")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	for _, line := range metricLine.FindAllStringSubmatch(string(text), -1) {
+		var labels []string
+		for _, label := range labelName.FindAllStringSubmatch(line[2], -1) {
+			if label[1] != "vmrange" {
+				labels = append(labels, label[1])
+			}
+		}
+		base := line[1]
+		for _, suffix := range []string{"_seconds_bucket", "_seconds_sum", "_seconds_count"} {
+			if rest, ok := strings.CutSuffix(base, suffix); ok {
+				base = rest + "_seconds"
+			}
+		}
+		into[name(base, labels)] = true
+	}
+}
+
+// name is a metric with its sorted labels.
+func name(base string, labels []string) string {
+	slices.Sort(labels)
+	return base + "{" + strings.Join(labels, ",") + "}"
+}
