--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// Guards against sample settings for one machine that need files.
+func TestLoopbackSettings(t *testing.T) {
+	_, err := settings.Load("loopback-entry.toml")
+	assert.NilError(t, err)
+}
+
 // Guards against sample settings that oriolefront -check refuses once the
 // certificates exist, and against a sample zone that is not declared.
 func TestEntrySettings(t *testing.T) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -29,6 +29,9 @@
 // KeyVariable is the environment variable with the operator key.
 const KeyVariable = "ORIOLECTL_KEY"
 
+// ServersVariable is the environment variable with the default of -servers.
+const ServersVariable = "ORIOLECTL_SERVERS"
+
 const usageText = `oriolectl changes and shows the configuration of a fleet of entry VMs.
 
 usage: oriolectl [flags] COMMAND
@@ -40,6 +43,7 @@
   get                  show the configuration in force
   history [N]          show the accepted patches after version N
   status               show what one VM knows
+  wait                 wait until all live VMs have the version in force
   zone out|in NAME     take a zone out of service, or bring it back
   target leave|join NAME   make a target leave, or bring it back
   patch show ID        show what became of a patch
@@ -121,7 +125,11 @@
 func (p *program) parse(args []string) ([]string, error) {
 	p.flags = flag.NewFlagSet("oriolectl", flag.ContinueOnError)
 	p.flags.SetOutput(p.env.Stderr)
-	p.flags.StringVar(&p.servers, "servers", "http://127.0.0.1:8081", "operator `URLs`, separated by commas, tried in order")
+	servers := p.env.Getenv(ServersVariable)
+	if servers == "" {
+		servers = "http://127.0.0.1:8081"
+	}
+	p.flags.StringVar(&p.servers, "servers", servers, "operator `URLs`, separated by commas, tried in order; also from "+ServersVariable)
 	p.flags.StringVar(&p.keyFile, "key-file", "", "`file` with the operator key, if "+KeyVariable+" is not set")
 	p.flags.StringVar(&p.output, "o", "text", "output `format`: text or json")
 	p.flags.StringVar(&p.id, "id", "", "`id` of the patch; give it again to repeat a submission (default: random)")
@@ -204,6 +212,7 @@
 		"history":           func() error { return p.history("0") },
 		"history N":         func() error { return p.history(argument) },
 		"status":            p.status,
+		"wait":              p.wait,
 		"zone out NAME":     func() error { return p.setZone(argument, true) },
 		"zone in NAME":      func() error { return p.setZone(argument, false) },
 		"target leave NAME": func() error { return p.setTarget(argument, true) },
--- a/internal/demo/commands.go
+++ b/internal/demo/commands.go
@@ -26,6 +26,9 @@
 	zone := l.Options.Zones[0]
 	ctl := "go run ./cmd/oriolectl -servers " + strings.Join(operators, ",")
 	fmt.Fprintf(w, "keys:\n  account %s\n  operator %s\n", lab.AccountKey, lab.OperatorKey)
+	section(w, "variables that the README and docs/operate use",
+		fmt.Sprintf("export CALLERS=%s ACCOUNT_KEY=%s ORIOLECTL_SERVERS=%s ORIOLECTL_KEY=%s",
+			l.Entries[0].Settings.Listen.Callers, lab.AccountKey, strings.Join(operators, ","), lab.OperatorKey))
 	section(w, "a streamed request", fmt.Sprintf("curl -sN %s/v1/completions -H 'Authorization: Bearer %s' -d '%s'", callers, lab.AccountKey, requestBody))
 	section(w, "a call to the plain service, which runs at most once for its key",
 		fmt.Sprintf("curl -si %s/services/%s/loans -H 'Authorization: Bearer %s' -H 'Idempotency-Key: counter-7' -d 'atlas'", callers, lab.PlainName, lab.AccountKey))
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -86,7 +86,7 @@
 	bin          binaries
 }
 
-type binaries struct{ entry, standin, ctl string }
+type binaries struct{ dir, entry, standin, ctl string }
 
 var (
 	buildOnce sync.Once
@@ -103,6 +103,7 @@
 			buildErr = err
 			return
 		}
+		built.dir = dir
 		for name, path := range map[string]*string{"oriolefront": &built.entry, "oriolestandin": &built.standin, "oriolectl": &built.ctl} {
 			*path = filepath.Join(dir, name)
 			out, err := exec.Command("go", "build", "-o", *path, "github.com/oriolefront/oriolefront/cmd/"+name).CombinedOutput()
@@ -116,6 +117,16 @@
 	return built
 }
 
+// Programs compiles oriolefront, oriolestandin and oriolectl and returns their
+// directory.
+func Programs(t *testing.T) string {
+	t.Helper()
+	return build(t).dir
+}
+
+// Declarations returns the file with the declarations of the fleet.
+func (f *Fleet) Declarations() string { return f.declarations }
+
 // FreeAddress returns a loopback address that nobody listens on at present.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
@@ -375,6 +386,9 @@
 	e.cmd, e.output, e.exited = e.fleet.run(e.fleet.bin.entry, "-settings", e.file)
 }
 
+// SettingsFile returns the file with the settings of the process.
+func (e *Entry) SettingsFile() string { return e.file }
+
 // Kill ends the process at once.
 func (e *Entry) Kill() {
 	e.cmd.Process.Kill()
