--- a/cmd/oriolestandin/main.go
+++ b/cmd/oriolestandin/main.go
@@ -28,6 +28,8 @@
 FILE is TOML with tables [[engine]], [table], [objects], [vms] and [[plain]];
 see docs/standins.md. It serves until SIGTERM or SIGINT.
 
+exit codes: 0 stopped, 1 failed, 2 wrong usage
+
 `
 
 // world lists the stand-ins to run.
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -104,8 +104,8 @@
 	state *state
 	// installed is when the version in force was put in force here.
 	installed time.Time
-	heads map[string]Head // by peer address, from heartbeats
-	fault error           // why the state cannot be trusted or brought up to date
+	heads     map[string]Head // by peer address, from heartbeats
+	fault     error           // why the state cannot be trusted or brought up to date
 
 	spread  *metrics.Histogram
 	refused *metrics.Counter
--- a/test/docs/commands_test.go
+++ b/test/docs/commands_test.go
@@ -24,8 +24,9 @@
 
 // runner runs the blocks of pages in one directory and environment.
 type runner struct {
-	dir string
-	env []string
+	dir        string // for files
+	workingDir string // of the commands; default dir
+	env        []string
 }
 
 // page runs all blocks of a page marked sh, in order. Each has to end with
@@ -50,6 +51,9 @@
 	defer output.Close()
 	cmd := exec.Command("sh", "-e", "-u", "-c", script)
 	cmd.Dir, cmd.Env, cmd.Stdout, cmd.Stderr = r.dir, r.env, output, output
+	if r.workingDir != "" {
+		cmd.Dir = r.workingDir
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	assert.NilError(t, cmd.Start())
 	timeout := time.AfterFunc(blockTimeout, func() { syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) })
--- /dev/null
+++ b/test/docs/readme_test.go
@@ -0,0 +1,76 @@
+package docs
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/demo"
+)
+
+var exportLine = regexp.MustCompile(`(?m)^  export (CALLERS=.*)$`)
+
+// Guards against first steps that do not work as written beside the demo.
+func TestReadmeCommands(t *testing.T) {
+	requirePrograms(t)
+	read, write := io.Pipe()
+	ended := make(chan int, 1)
+	ctx, stop := contextOf(t)
+	go func() {
+		ended <- demo.Run(ctx, nil, write, io.Discard)
+		write.Close()
+	}()
+	printed := readUntil(t, read, "Ctrl-C ends it")
+	rest := make(chan []byte, 1)
+	go func() { text, _ := io.ReadAll(read); rest <- text }()
+	export := exportLine.FindStringSubmatch(printed)
+	assert.Assert(t, export != nil, printed)
+	r := &runner{dir: t.TempDir(), env: append(os.Environ(), strings.Fields(export[1])...)}
+	r.env = append(r.env, "TMPDIR="+r.dir)
+	r.workingDir = "../.."
+	r.page(t, "../../README.md")
+	stop()
+	assert.Equal(t, <-ended, demo.ExitOK)
+	assert.Assert(t, strings.Contains(string(<-rest), "graceful shutdown complete"))
+}
+
+func contextOf(t *testing.T) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	return ctx, stop
+}
+
+// readUntil reads text until it contains mark.
+func readUntil(t *testing.T, r io.Reader, mark string) string {
+	t.Helper()
+	var text []byte
+	buffer := make([]byte, 4096)
+	for !strings.Contains(string(text), mark) {
+		n, err := r.Read(buffer)
+		text = append(text, buffer[:n]...)
+		assert.NilError(t, err, "%s", text)
+	}
+	return string(text)
+}
+
+// Guards against a program without a usage text, or whose -h fails.
+func TestProgramsExplainThemselves(t *testing.T) {
+	for _, c := range []struct{ program, text string }{
+		{"oriolefront", "usage: oriolefront"},
+		{"oriolectl", "usage: oriolectl"},
+		{"orioleload", "orioleload measure"},
+		{"oriolestandin", "usage: oriolestandin"},
+		{"orioledemo", "usage: orioledemo"},
+	} {
+		out, err := exec.Command("go", "run", "../../cmd/"+c.program, "-h").CombinedOutput()
+		assert.NilError(t, err, "%s -h: %s", c.program, out)
+		assert.Assert(t, strings.Contains(string(out), c.text), "%s -h: %s", c.program, out)
+		assert.Assert(t, strings.Contains(string(out), "exit codes:"), "%s -h names no exit codes: %s", c.program, out)
+	}
+}
