Test the links between VMs over mutual TLS, and refuse a VM of another authority

Only plaintext links ran in tests with real processes. The test makes two authorities: three entry processes of one serve, spread a patch and free a seat; a process of the other reaches the store, is not ready for 15 s and gets no seat, and a process of the right authority then takes the seat.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/certs"
 	"github.com/oriolefront/oriolefront/internal/faultproxy"
 	"github.com/oriolefront/oriolefront/internal/standin"
 	"github.com/oriolefront/oriolefront/internal/store"
@@ -45,6 +46,9 @@
 	TargetLines string
 	// ExtraDeclarations are added to the declarations.
 	ExtraDeclarations string
+	// Certificates is a directory of package certs with a certificate for
+	// 127.0.0.1. Links then use mutual TLS; without it they are plaintext.
+	Certificates string
 }
 
 // Engine is an engine stand-in as seen from outside.
@@ -79,6 +83,8 @@
 	Entries []*Entry
 
 	Table, Objects, VMs string // addresses
+	// Certificates applies to entry processes that are added from now on.
+	Certificates string
 
 	t            *testing.T
 	dir          string
@@ -142,7 +148,7 @@
 // process is ready.
 func Start(t *testing.T, o Options) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, dir: t.TempDir(), bin: build(t)}
+	f := &Fleet{t: t, dir: t.TempDir(), bin: build(t), Certificates: o.Certificates}
 	f.startStandIns(o)
 	for range o.Entries {
 		f.AddEntry()
@@ -323,17 +329,27 @@
 resume = %q
 operators = { fleet = %q }
 [peers]
-plaintext = true
+%s
 [limits]
 drain-delay = "100ms"
 `, zone, e.Callers, e.Operators, e.Peers, e.PeerProxy.Address(), e.StoreProxy.Address(), f.Objects, f.VMs,
-		strings.Repeat("0f", 32), auth.KeyHash(OperatorKey)))
+		strings.Repeat("0f", 32), auth.KeyHash(OperatorKey), f.peerSecurity()))
 	f.Register(e, zone)
 	e.Start()
 	f.Entries = append(f.Entries, e)
 	return e
 }
 
+// peerSecurity returns the settings of the links between entry processes.
+func (f *Fleet) peerSecurity() string {
+	if f.Certificates == "" {
+		return "plaintext = true"
+	}
+	file := func(name string) string { return filepath.Join(f.Certificates, name) }
+	return fmt.Sprintf("certificate = %q\nprivate-key = %q\nauthority = %q",
+		file("127.0.0.1.pem"), file("127.0.0.1-key.pem"), file(certs.AuthorityFile))
+}
+
 func (f *Fleet) proxy(target string) *faultproxy.Proxy {
 	p, err := faultproxy.Start(target)
 	assert.NilError(f.t, err)
--- /dev/null
+++ b/test/path/tls_test.go
@@ -0,0 +1,76 @@
+package path
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/certs"
+	"github.com/oriolefront/oriolefront/internal/loadgen"
+	"github.com/oriolefront/oriolefront/internal/operator"
+	"github.com/oriolefront/oriolefront/test/fleet"
+)
+
+// newCertificates makes an authority and a certificate for loopback.
+func newCertificates(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	assert.NilError(t, certs.NewAuthority(dir))
+	assert.NilError(t, certs.Issue(dir, "127.0.0.1"))
+	return dir
+}
+
+// foreignTime is how long a VM of another authority is observed. A VM of the
+// right one is ready within a part of it.
+const foreignTime = 15 * time.Second
+
+// Guards against links that do not work over mutual TLS, and against a VM with
+// a certificate of another authority that takes part in the fleet.
+func TestMutualTLS(t *testing.T) {
+	f := fleet.Start(t, fleet.Options{Engines: 3, Entries: 3, Certificates: newCertificates(t)})
+	client := loadgen.NewClient([]string{f.Entries[1].Callers}, fleet.AccountKey)
+	r := client.Do(t.Context(), loadgen.Request{ID: "tls", Model: "catalogue", PromptTokens: 1000, MaxTokens: 20})
+	assert.Assert(t, r.Whole && !r.Wrong, "%+v", r)
+	f.Ctl(0, "-yes", "zone", "out", "iasi")
+	f.Ctl(0, "wait") // the others have the version by messages over TLS
+	for _, peer := range status(t, f, 0).Peers {
+		assert.Equal(t, peer.State, "live")
+		assert.Equal(t, peer.Version, uint64(2))
+	}
+	assert.NilError(t, <-f.Entries[2].Stop()) // its seat is free now
+	f.Unregister(f.Entries[2])
+
+	right := f.Certificates
+	f.Certificates = newCertificates(t)
+	foreign := f.AddEntry()
+	for end := time.Now().Add(foreignTime); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if resp, err := http.Get("http://" + foreign.Callers + "/readyz"); err == nil {
+			resp.Body.Close()
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, "a VM of another authority is ready")
+		}
+	}
+	for _, peer := range status(t, f, 0).Peers {
+		if strings.HasPrefix(peer.Instance, foreign.PeerProxy.Address()+"#") {
+			assert.Assert(t, peer.State != "live" && len(peer.Seats) == 0, "%+v", peer)
+		}
+	}
+	own := status(t, f, 3)
+	assert.Equal(t, len(own.Seats), 0, "%+v", own)
+	assert.Equal(t, own.Version, uint64(2), "it reaches the store, so that only the links keep it out: %+v", own)
+	foreign.Kill()
+	f.Unregister(foreign)
+
+	f.Certificates = right
+	f.AddEntry().AwaitReady(foreignTime)
+}
+
+func status(t *testing.T, f *fleet.Fleet, entry int) operator.Status {
+	t.Helper()
+	var s operator.Status
+	assert.NilError(t, json.Unmarshal([]byte(f.Ctl(entry, "-o", "json", "status")), &s))
+	return s
+}
