Test that a link refuses a client of another authority, and name the request in refusals

The process test alone shows the client's refusal of a server. A direct connection with a foreign certificate, and one without, is refused by the server, and one with the right certificate is not. The log line of a refused request had no request id.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -55,11 +55,17 @@
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, account string, err error) {
 	e := apierror.From(err)
 	g.Metrics.outcome(string(e.Kind))
-	g.Log.Info("request refused", "account", account, "path", r.URL.Path, "kind", e.Kind,
+	g.Log.Info("request refused", "request", clip(r.Header.Get(HeaderRequestID)), "account", account, "path", r.URL.Path, "kind", e.Kind,
 		"outcome", e.Outcome, "error", e.Message)
 	e.Write(w)
 }
 
+// clip bounds a header that was not checked before it is logged.
+func clip(text string) string {
+	const limit = 128
+	return text[:min(len(text), limit)]
+}
+
 func (g *Gateway) logEnd(c *call, err error) {
 	took := time.Since(c.arrived)
 	switch {
--- a/test/path/tls_test.go
+++ b/test/path/tls_test.go
@@ -1,8 +1,11 @@
 package path
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -41,11 +44,16 @@
 		assert.Equal(t, peer.State, "live")
 		assert.Equal(t, peer.Version, uint64(2))
 	}
+	foreignDir := newCertificates(t)
+	assert.ErrorContains(t, greet(t, f.Entries[0].Peers, foreignDir), "remote error: tls")
+	assert.ErrorContains(t, greet(t, f.Entries[0].Peers, ""), "remote error: tls")
+	assert.Assert(t, os.IsTimeout(greet(t, f.Entries[0].Peers, f.Certificates)), "a right certificate is refused")
+
 	assert.NilError(t, <-f.Entries[2].Stop()) // its seat is free now
 	f.Unregister(f.Entries[2])
 
 	right := f.Certificates
-	f.Certificates = newCertificates(t)
+	f.Certificates = foreignDir
 	foreign := f.AddEntry()
 	for end := time.Now().Add(foreignTime); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		if resp, err := http.Get("http://" + foreign.Callers + "/readyz"); err == nil {
@@ -68,6 +76,27 @@
 	f.AddEntry().AwaitReady(foreignTime)
 }
 
+// greet connects to a link without looking at the server's certificate and
+// returns the error of the first read: the server's refusal, or a timeout when
+// the server waits for messages.
+func greet(t *testing.T, address, dir string) error {
+	t.Helper()
+	c := &tls.Config{InsecureSkipVerify: true}
+	if dir != "" {
+		pair, err := tls.LoadX509KeyPair(filepath.Join(dir, "127.0.0.1.pem"), filepath.Join(dir, "127.0.0.1-key.pem"))
+		assert.NilError(t, err)
+		// Without this function the client would send no certificate to a
+		// server that asks for another authority.
+		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }
+	}
+	conn, err := tls.Dial("tcp", address, c)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
 func status(t *testing.T, f *fleet.Fleet, entry int) operator.Status {
 	t.Helper()
 	var s operator.Status
