--- a/internal/config/patch_test.go
+++ b/internal/config/patch_test.go
@@ -101,6 +101,14 @@
 	assert.ErrorContains(t, err, "one operation for each key")
 }
 
+// Guards against a declared zero that silently becomes the default.
+func TestParseRefusesDeclaredZeros(t *testing.T) {
+	for _, key := range []string{KeySeats, KeySharesPerTarget} {
+		_, err := Parse(key + " = 0")
+		assert.ErrorContains(t, err, key+`: found "0", allowed: a number above 0`)
+	}
+}
+
 // Guards against a seat change that is refused although no target works.
 func TestSeatsChangeWhileNothingWorks(t *testing.T) {
 	base := declared(t)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -60,6 +60,13 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, Problem{Key: unknown[0].String(), Found: "unknown key", Allowed: "a key listed in docs/configuration.md"}
 	}
+	// Zero stands for the default where a scalar is absent; a declared zero is
+	// a mistake and not a wish for the default.
+	for key, value := range map[string]int{KeySeats: c.Seats, KeySharesPerTarget: c.SharesPerTarget} {
+		if meta.IsDefined(key) && value <= 0 {
+			return nil, Problem{Key: key, Found: fmt.Sprint(value), Allowed: "a number above 0"}
+		}
+	}
 	c.ApplyDefaults()
 	if problems := c.Validate(); len(problems) > 0 {
 		return nil, problems
--- a/internal/confsync/storefetch.go
+++ b/internal/confsync/storefetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/oriolefront/oriolefront/internal/apierror"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/store"
 )
@@ -79,7 +80,7 @@
 func (s *Syncer) History(ctx context.Context, after uint64) ([]HistoryEntry, error) {
 	rows, err := s.scan(ctx, after, scanRows)
 	if err != nil {
-		return nil, unavailable(err)
+		return nil, apierror.New(apierror.KindUnavailable, apierror.NotRun, "the history cannot be read: "+err.Error(), "ask again later").WithCause(err)
 	}
 	entries := make([]HistoryEntry, 0, len(rows))
 	for _, row := range rows {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -224,8 +224,7 @@
 			return command, nil
 		}
 	}
-	p.flags.Usage()
-	return nil, usageError{config.Problem{Key: "command", Found: strings.Join(words, " "), Allowed: "a command of the list above"}}
+	return nil, usageError{config.Problem{Key: "command", Found: strings.Join(words, " "), Allowed: "a command that oriolectl -h lists"}}
 }
 
 // matches compares words with a pattern in which capitals stand for any word.
