Parse command lines in one way, and name the VM in the demo's log

-h went to standard error in three programs, so a pager showed nothing; a missing flag printed the whole usage without saying what was wrong. Package usage prints help on standard output with exit code 0 and a mistake as one line with exit code 2. With -v the lines of several entry processes in the demo could not be told apart.

--- a/cmd/oriolefront/main.go
+++ b/cmd/oriolefront/main.go
@@ -13,6 +13,7 @@
 	"github.com/oriolefront/oriolefront/internal/entry"
 	"github.com/oriolefront/oriolefront/internal/logging"
 	"github.com/oriolefront/oriolefront/internal/settings"
+	"github.com/oriolefront/oriolefront/internal/usage"
 )
 
 const usageText = `oriolefront serves callers from one entry VM.
@@ -32,16 +33,17 @@
 }
 
 func run() int {
-	file := flag.String("settings", "", "TOML `file` with the settings (required)")
-	check := flag.Bool("check", false, "check the settings and exit")
-	flag.Usage = func() {
-		fmt.Fprint(flag.CommandLine.Output(), usageText)
-		flag.PrintDefaults()
+	flags := flag.NewFlagSet("oriolefront", flag.ContinueOnError)
+	file := flags.String("settings", "", "TOML `file` with the settings (required)")
+	check := flags.Bool("check", false, "check the settings and exit")
+	if code, ended := usage.Parse(flags, usageText, os.Args[1:], os.Stdout, os.Stderr); ended {
+		return code
 	}
-	flag.Parse()
-	if *file == "" || flag.NArg() > 0 {
-		flag.Usage()
-		return 2
+	if flags.NArg() > 0 {
+		return usage.Wrong(flags, os.Stderr, fmt.Sprintf("unexpected argument %q", flags.Arg(0)))
+	}
+	if *file == "" {
+		return usage.Wrong(flags, os.Stderr, "-settings is missing")
 	}
 	s, err := settings.Load(*file)
 	if err != nil {
--- a/cmd/oriolestandin/main.go
+++ b/cmd/oriolestandin/main.go
@@ -19,6 +19,7 @@
 	"github.com/oriolefront/oriolefront/internal/logging"
 	"github.com/oriolefront/oriolefront/internal/standin"
 	"github.com/oriolefront/oriolefront/internal/tcp"
+	"github.com/oriolefront/oriolefront/internal/usage"
 )
 
 const usageText = `oriolestandin runs stand-ins for engines and platform services.
@@ -61,19 +62,17 @@
 }
 
 func run() int {
-	file := flag.String("world", "", "TOML `file` that lists the stand-ins (required)")
-	flag.Usage = func() {
-		fmt.Fprint(flag.CommandLine.Output(), usageText)
-		flag.PrintDefaults()
+	flags := flag.NewFlagSet("oriolestandin", flag.ContinueOnError)
+	file := flags.String("world", "", "TOML `file` that lists the stand-ins (required)")
+	if code, ended := usage.Parse(flags, usageText, os.Args[1:], os.Stdout, os.Stderr); ended {
+		return code
 	}
-	flag.Parse()
 	if *file == "" {
-		flag.Usage()
-		return 2
+		return usage.Wrong(flags, os.Stderr, "-world is missing")
 	}
 	text, err := os.ReadFile(*file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "oriolestandin:", err)
 		return 2
 	}
 	w, err := parseWorld(*file, string(text))
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -124,7 +124,8 @@
 // parse accepts flags before and after the words of the command.
 func (p *program) parse(args []string) ([]string, error) {
 	p.flags = flag.NewFlagSet("oriolectl", flag.ContinueOnError)
-	p.flags.SetOutput(p.env.Stderr)
+	p.flags.SetOutput(io.Discard)
+	p.flags.Usage = func() {}
 	servers := p.env.Getenv(ServersVariable)
 	if servers == "" {
 		servers = "http://127.0.0.1:8081"
@@ -135,17 +136,16 @@
 	p.flags.StringVar(&p.id, "id", "", "`id` of the patch; give it again to repeat a submission (default: random)")
 	p.flags.Int64Var(&p.base, "base", -1, "`version` that the patch is against (default: the one in force)")
 	p.flags.BoolVar(&p.yes, "yes", false, "submit without asking")
-	p.flags.Usage = func() {
-		fmt.Fprint(p.env.Stderr, usageText)
-		p.flags.PrintDefaults()
-	}
 	var positional []string
 	for {
 		if err := p.flags.Parse(args); err != nil {
 			if errors.Is(err, flag.ErrHelp) {
+				fmt.Fprint(p.env.Stdout, usageText)
+				p.flags.SetOutput(p.env.Stdout)
+				p.flags.PrintDefaults()
 				return nil, err
 			}
-			return nil, usageError{err}
+			return nil, usageError{fmt.Errorf("%w; see oriolectl -h", err)}
 		}
 		if p.flags.NArg() == 0 {
 			return positional, p.checkFlags()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -13,13 +12,14 @@
 
 	"github.com/oriolefront/oriolefront/internal/lab"
 	"github.com/oriolefront/oriolefront/internal/logging"
+	"github.com/oriolefront/oriolefront/internal/usage"
 )
 
 // The exit codes.
 const (
 	ExitOK     = 0
 	ExitFailed = 1
-	ExitUsage  = 2
+	ExitUsage  = usage.ExitUsage
 )
 
 const usageText = `orioledemo runs a small fleet on loopback, for a first look.
@@ -53,13 +53,9 @@
 
 // Run runs the demo until ctx ends and returns the exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	f, err := parse(args, stdout, stderr)
-	if errors.Is(err, flag.ErrHelp) {
-		return ExitOK
-	}
-	if err != nil {
-		fmt.Fprintln(stderr, "orioledemo:", err)
-		return ExitUsage
+	f, code, ended := parse(args, stdout, stderr)
+	if ended {
+		return code
 	}
 	if err := run(ctx, f, stdout, stderr); err != nil {
 		fmt.Fprintln(stderr, "orioledemo:", err)
@@ -68,31 +64,27 @@
 	return ExitOK
 }
 
-func parse(args []string, stdout, stderr io.Writer) (flags, error) {
-	var f flags
+func parse(args []string, stdout, stderr io.Writer) (f flags, code int, ended bool) {
 	set := flag.NewFlagSet("orioledemo", flag.ContinueOnError)
-	set.SetOutput(io.Discard)
 	set.IntVar(&f.entries, "entries", 3, "`number` of entry processes, 1 to 9")
 	set.IntVar(&f.engines, "engines", 6, "`number` of engine stand-ins, 1 to 30")
 	set.BoolVar(&f.verbose, "v", false, "log the entry processes to standard error")
 	set.BoolVar(&f.once, "once", false, "send one streamed request, print its answer and exit")
-	err := set.Parse(args)
+	if code, ended := usage.Parse(set, usageText, args, stdout, stderr); ended {
+		return f, code, true
+	}
+	mistake := ""
 	switch {
-	case errors.Is(err, flag.ErrHelp):
-		fmt.Fprint(stdout, usageText)
-		set.SetOutput(stdout)
-		set.PrintDefaults()
-		return f, err
-	case err != nil:
-		return f, fmt.Errorf("%w; see orioledemo -h", err)
 	case set.NArg() > 0:
-		return f, fmt.Errorf("unexpected argument %q; see orioledemo -h", set.Arg(0))
+		mistake = fmt.Sprintf("unexpected argument %q", set.Arg(0))
 	case f.entries < 1 || f.entries > maxEntries:
-		return f, fmt.Errorf("-entries: found %d, allowed: 1 to %d", f.entries, maxEntries)
+		mistake = fmt.Sprintf("-entries: found %d, allowed: 1 to %d", f.entries, maxEntries)
 	case f.engines < 1 || f.engines > maxEngines:
-		return f, fmt.Errorf("-engines: found %d, allowed: 1 to %d", f.engines, maxEngines)
+		mistake = fmt.Sprintf("-engines: found %d, allowed: 1 to %d", f.engines, maxEngines)
+	default:
+		return f, 0, false
 	}
-	return f, nil
+	return f, usage.Wrong(set, stderr, mistake), true
 }
 
 func run(ctx context.Context, f flags, stdout, stderr io.Writer) error {
--- a/internal/lab/entry.go
+++ b/internal/lab/entry.go
@@ -43,7 +43,7 @@
 
 // StartEntry starts an entry process with given settings.
 func (l *Lab) StartEntry(s *settings.Settings) (*Entry, error) {
-	process, err := entry.New(s, l.Options.Log)
+	process, err := entry.New(s, l.Options.Log.With("vm", s.Listen.Callers))
 	if err != nil {
 		return nil, err
 	}
--- a/test/docs/readme_test.go
+++ b/test/docs/readme_test.go
@@ -68,7 +68,7 @@
 		{"oriolestandin", "usage: oriolestandin"},
 		{"orioledemo", "usage: orioledemo"},
 	} {
-		out, err := exec.Command("go", "run", "../../cmd/"+c.program, "-h").CombinedOutput()
+		out, err := exec.Command("go", "run", "../../cmd/"+c.program, "-h").Output() // standard output, for a pager
 		assert.NilError(t, err, "%s -h: %s", c.program, out)
 		assert.Assert(t, strings.Contains(string(out), c.text), "%s -h: %s", c.program, out)
 		assert.Assert(t, strings.Contains(string(out), "exit codes:"), "%s -h names no exit codes: %s", c.program, out)
