Report the end of a lab's process, and choose free ports outside the range of outgoing connections

A port of the ephemeral range can be taken between the choice and the listen, which fits what was seen and is not proved to be its cause. The lab now reports a process that ended instead of waiting, the test prints the reason, and the lab and the fleet take ports below that range.

--- a/internal/lab/entry.go
+++ b/internal/lab/entry.go
@@ -16,6 +16,7 @@
 	"github.com/oriolefront/oriolefront/internal/entry"
 	"github.com/oriolefront/oriolefront/internal/settings"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
 // EntrySettings are the settings of an entry process.
@@ -27,7 +28,8 @@
 	Process  *entry.Process
 
 	stop    context.CancelFunc
-	done    chan error
+	ended   chan struct{}
+	err     error // of the process, valid once ended is closed
 	stopped atomic.Bool
 }
 
@@ -48,9 +50,12 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(l.ctx)
-	e := &Entry{Settings: s, Process: process, stop: stop, done: make(chan error, 1)}
+	e := &Entry{Settings: s, Process: process, stop: stop, ended: make(chan struct{})}
 	l.VMs.Register(store.VM{Address: s.VM.Address, Peer: s.Listen.PeerAddress(), Zone: s.VM.Zone, State: "live"})
-	go func() { e.done <- process.Run(ctx) }()
+	go func() {
+		e.err = process.Run(ctx)
+		close(e.ended)
+	}()
 	l.Entries = append(l.Entries, e)
 	return e, nil
 }
@@ -58,7 +63,7 @@
 func (l *Lab) entrySettings(i int) (*settings.Settings, error) {
 	var addresses [3]string
 	for j := range addresses {
-		address, err := freeAddress()
+		address, err := tcp.FreeLoopback()
 		if err != nil {
 			return nil, err
 		}
@@ -89,8 +94,8 @@
 	}
 	e.stop()
 	select {
-	case err := <-e.done:
-		return err
+	case <-e.ended:
+		return e.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -117,7 +122,11 @@
 			}
 			reason = string(text)
 		}
-		time.Sleep(20 * time.Millisecond)
+		select {
+		case <-e.ended:
+			return fmt.Errorf("entry process %s ended: %w", e.Settings.Listen.Callers, e.err)
+		case <-time.After(20 * time.Millisecond):
+		}
 	}
 	return fmt.Errorf("entry process %s is not ready: %s", e.Settings.Listen.Callers, reason)
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -295,13 +295,3 @@
 	rand.Read(b)
 	return b
 }
-
-// freeAddress returns a loopback address that nobody listens on at present.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
--- a/test/docs/readme_test.go
+++ b/test/docs/readme_test.go
@@ -1,7 +1,9 @@
 package docs
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -20,15 +22,16 @@
 func TestReadmeCommands(t *testing.T) {
 	requirePrograms(t)
 	read, write := io.Pipe()
+	var stderr bytes.Buffer // read after the demo has ended
 	ended := make(chan int, 1)
 	ctx, stop := contextOf(t)
 	go func() {
-		ended <- demo.Run(ctx, nil, write, io.Discard)
-		write.Close()
+		ended <- demo.Run(ctx, nil, write, &stderr)
+		write.CloseWithError(fmt.Errorf("the demo ended: %s", &stderr))
 	}()
 	printed := readUntil(t, read, "Ctrl-C ends it")
 	rest := make(chan []byte, 1)
-	go func() { text, _ := io.ReadAll(read); rest <- text }()
+	go func() { text, _ := io.ReadAll(read); rest <- text }() // an error is the demo's end
 	export := exportLine.FindStringSubmatch(printed)
 	assert.Assert(t, export != nil, printed)
 	r := &runner{dir: t.TempDir(), env: append(os.Environ(), strings.Fields(export[1])...)}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +25,7 @@
 	"github.com/oriolefront/oriolefront/internal/faultproxy"
 	"github.com/oriolefront/oriolefront/internal/standin"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
 // Keys of the fleet.
@@ -136,10 +136,9 @@
 // FreeAddress returns a loopback address that nobody listens on at present.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := tcp.FreeLoopback()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 var zones = []string{"iasi", "suceava", "bacau"}
