--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -29,6 +29,9 @@
 // KeyVariable is the environment variable with the operator key.
 const KeyVariable = "ORIOLECTL_KEY"
 
+// ServersVariable is the environment variable with the default of -servers.
+const ServersVariable = "ORIOLECTL_SERVERS"
+
 const usageText = `oriolectl changes and shows the configuration of a fleet of entry VMs.
 
 usage: oriolectl [flags] COMMAND
@@ -40,9 +43,13 @@
   get                  show the configuration in force
   history [N]          show the accepted patches after version N
   status               show what one VM knows
+  wait                 wait until all live VMs have the version in force
   zone out|in NAME     take a zone out of service, or bring it back
   target leave|join NAME   make a target leave, or bring it back
   patch show ID        show what became of a patch
+  key new              make a key of an operator or account, and its hash
+  certificate authority DIR   make an authority for the links between VMs
+  certificate vm DIR IP       make the certificate of one VM, signed by it
 
 The key of the operator comes from the environment variable ORIOLECTL_KEY or
 from the file given by -key-file.
@@ -117,24 +124,28 @@
 // parse accepts flags before and after the words of the command.
 func (p *program) parse(args []string) ([]string, error) {
 	p.flags = flag.NewFlagSet("oriolectl", flag.ContinueOnError)
-	p.flags.SetOutput(p.env.Stderr)
-	p.flags.StringVar(&p.servers, "servers", "http://127.0.0.1:8081", "operator `URLs`, separated by commas, tried in order")
+	p.flags.SetOutput(io.Discard)
+	p.flags.Usage = func() {}
+	servers := p.env.Getenv(ServersVariable)
+	if servers == "" {
+		servers = "http://127.0.0.1:8081"
+	}
+	p.flags.StringVar(&p.servers, "servers", servers, "operator `URLs`, separated by commas, tried in order; also from "+ServersVariable)
 	p.flags.StringVar(&p.keyFile, "key-file", "", "`file` with the operator key, if "+KeyVariable+" is not set")
 	p.flags.StringVar(&p.output, "o", "text", "output `format`: text or json")
 	p.flags.StringVar(&p.id, "id", "", "`id` of the patch; give it again to repeat a submission (default: random)")
 	p.flags.Int64Var(&p.base, "base", -1, "`version` that the patch is against (default: the one in force)")
 	p.flags.BoolVar(&p.yes, "yes", false, "submit without asking")
-	p.flags.Usage = func() {
-		fmt.Fprint(p.env.Stderr, usageText)
-		p.flags.PrintDefaults()
-	}
 	var positional []string
 	for {
 		if err := p.flags.Parse(args); err != nil {
 			if errors.Is(err, flag.ErrHelp) {
+				fmt.Fprint(p.env.Stdout, usageText)
+				p.flags.SetOutput(p.env.Stdout)
+				p.flags.PrintDefaults()
 				return nil, err
 			}
-			return nil, usageError{err}
+			return nil, usageError{fmt.Errorf("%w; see oriolectl -h", err)}
 		}
 		if p.flags.NArg() == 0 {
 			return positional, p.checkFlags()
@@ -175,8 +186,8 @@
 }
 
 func (p *program) execute(words []string) error {
-	if len(words) == 2 && words[0] == "check" {
-		return p.check(words[1])
+	if command := p.local(words); command != nil {
+		return command()
 	}
 	command, err := p.command(words)
 	if err != nil {
@@ -201,6 +212,7 @@
 		"history":           func() error { return p.history("0") },
 		"history N":         func() error { return p.history(argument) },
 		"status":            p.status,
+		"wait":              p.wait,
 		"zone out NAME":     func() error { return p.setZone(argument, true) },
 		"zone in NAME":      func() error { return p.setZone(argument, false) },
 		"target leave NAME": func() error { return p.setTarget(argument, true) },
@@ -212,8 +224,7 @@
 			return command, nil
 		}
 	}
-	p.flags.Usage()
-	return nil, usageError{config.Problem{Key: "command", Found: strings.Join(words, " "), Allowed: "a command of the list above"}}
+	return nil, usageError{config.Problem{Key: "command", Found: strings.Join(words, " "), Allowed: "a command that oriolectl -h lists"}}
 }
 
 // matches compares words with a pattern in which capitals stand for any word.
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,150 @@
+// Package demo is the logic of orioledemo: a small fleet of entry processes
+// with stand-ins in one process, and commands to try it with.
+package demo
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/lab"
+	"github.com/oriolefront/oriolefront/internal/logging"
+	"github.com/oriolefront/oriolefront/internal/usage"
+)
+
+// The exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = usage.ExitUsage
+)
+
+const usageText = `orioledemo runs a small fleet on loopback, for a first look.
+
+usage: orioledemo [-entries N] [-engines N] [-v] [-once]
+
+It starts stand-ins for the platform and the engines, entry processes and a
+sample configuration in one process, prints commands to paste, and serves until
+SIGINT (Ctrl-C) or SIGTERM, which start a graceful shutdown. It needs no files
+and no network besides loopback; everything is gone when it ends.
+
+exit codes: 0 shut down, 1 failed, 2 wrong usage
+
+flags:
+`
+
+// flags are the command line.
+type flags struct {
+	entries, engines int
+	verbose, once    bool
+}
+
+// The most processes and engines that one run starts.
+const (
+	maxEntries = 9
+	maxEngines = 30
+)
+
+// stopTimeout bounds the graceful shutdown of the demo.
+const stopTimeout = 30 * time.Second
+
+// Run runs the demo until ctx ends and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	f, code, ended := parse(args, stdout, stderr)
+	if ended {
+		return code
+	}
+	if err := run(ctx, f, stdout, stderr); err != nil {
+		fmt.Fprintln(stderr, "orioledemo:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func parse(args []string, stdout, stderr io.Writer) (f flags, code int, ended bool) {
+	set := flag.NewFlagSet("orioledemo", flag.ContinueOnError)
+	set.IntVar(&f.entries, "entries", 3, "`number` of entry processes, 1 to 9")
+	set.IntVar(&f.engines, "engines", 6, "`number` of engine stand-ins, 1 to 30")
+	set.BoolVar(&f.verbose, "v", false, "log the entry processes to standard error")
+	set.BoolVar(&f.once, "once", false, "send one streamed request, print its answer and exit")
+	if code, ended := usage.Parse(set, usageText, args, stdout, stderr); ended {
+		return f, code, true
+	}
+	mistake := ""
+	switch {
+	case set.NArg() > 0:
+		mistake = fmt.Sprintf("unexpected argument %q", set.Arg(0))
+	case f.entries < 1 || f.entries > maxEntries:
+		mistake = fmt.Sprintf("-entries: found %d, allowed: 1 to %d", f.entries, maxEntries)
+	case f.engines < 1 || f.engines > maxEngines:
+		mistake = fmt.Sprintf("-engines: found %d, allowed: 1 to %d", f.engines, maxEngines)
+	default:
+		return f, 0, false
+	}
+	return f, usage.Wrong(set, stderr, mistake), true
+}
+
+func run(ctx context.Context, f flags, stdout, stderr io.Writer) error {
+	log := slog.New(slog.DiscardHandler)
+	if f.verbose {
+		var err error
+		if log, err = logging.New(stderr, "info"); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	l, err := start(ctx, options(f, log))
+	if err != nil {
+		return fmt.Errorf("start the fleet: %w", err)
+	}
+	defer l.Close()
+	fmt.Fprintf(stdout, "ready after %s: %d entry processes, %d engines, zones %v\n",
+		time.Since(began).Round(time.Millisecond), len(l.Entries), len(l.Engines), l.Options.Zones)
+	if f.once {
+		if err := ask(ctx, l.Entries[0].Settings.Listen.Callers, stdout); err != nil {
+			return err
+		}
+		return stop(l, stdout)
+	}
+	printCommands(stdout, l)
+	<-ctx.Done()
+	return stop(l, stdout)
+}
+
+// start starts the fleet. The end of ctx ends the start; afterwards it has no
+// effect on the fleet, because the stand-ins must outlive the graceful shutdown.
+func start(ctx context.Context, o lab.Options) (*lab.Lab, error) {
+	fleet, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	release := context.AfterFunc(ctx, cancel)
+	defer release()
+	l, err := lab.Start(fleet, o)
+	if err != nil {
+		cancel()
+	}
+	return l, err
+}
+
+// options returns the zones, services and rules of Bibliobuz at a size that
+// starts within a few seconds.
+func options(f flags, log *slog.Logger) lab.Options {
+	o := lab.Bibliobuz()
+	o.Entries, o.Engines, o.Log = f.entries, f.engines, log
+	return o
+}
+
+// stop shuts the entry processes down gracefully, one after the other, as a
+// rolling replacement does.
+func stop(l *lab.Lab, stdout io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for i, e := range l.Entries {
+		if err := e.Stop(ctx); err != nil {
+			return fmt.Errorf("entry process %d did not shut down gracefully: %w", i, err)
+		}
+	}
+	fmt.Fprintln(stdout, "graceful shutdown complete")
+	return nil
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,9 +21,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/certs"
 	"github.com/oriolefront/oriolefront/internal/faultproxy"
 	"github.com/oriolefront/oriolefront/internal/standin"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
 // Keys of the fleet.
@@ -45,6 +46,9 @@
 	TargetLines string
 	// ExtraDeclarations are added to the declarations.
 	ExtraDeclarations string
+	// Certificates is a directory of package certs with a certificate for
+	// 127.0.0.1. Links then use mutual TLS; without it they are plaintext.
+	Certificates string
 }
 
 // Engine is an engine stand-in as seen from outside.
@@ -79,6 +83,8 @@
 	Entries []*Entry
 
 	Table, Objects, VMs string // addresses
+	// Certificates applies to entry processes that are added from now on.
+	Certificates string
 
 	t            *testing.T
 	dir          string
@@ -86,7 +92,7 @@
 	bin          binaries
 }
 
-type binaries struct{ entry, standin, ctl string }
+type binaries struct{ dir, entry, standin, ctl string }
 
 var (
 	buildOnce sync.Once
@@ -103,6 +109,7 @@
 			buildErr = err
 			return
 		}
+		built.dir = dir
 		for name, path := range map[string]*string{"oriolefront": &built.entry, "oriolestandin": &built.standin, "oriolectl": &built.ctl} {
 			*path = filepath.Join(dir, name)
 			out, err := exec.Command("go", "build", "-o", *path, "github.com/oriolefront/oriolefront/cmd/"+name).CombinedOutput()
@@ -116,13 +123,22 @@
 	return built
 }
 
+// Programs compiles oriolefront, oriolestandin and oriolectl and returns their
+// directory.
+func Programs(t *testing.T) string {
+	t.Helper()
+	return build(t).dir
+}
+
+// Declarations returns the file with the declarations of the fleet.
+func (f *Fleet) Declarations() string { return f.declarations }
+
 // FreeAddress returns a loopback address that nobody listens on at present.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := tcp.FreeLoopback()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 var zones = []string{"iasi", "suceava", "bacau"}
@@ -131,7 +147,7 @@
 // process is ready.
 func Start(t *testing.T, o Options) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, dir: t.TempDir(), bin: build(t)}
+	f := &Fleet{t: t, dir: t.TempDir(), bin: build(t), Certificates: o.Certificates}
 	f.startStandIns(o)
 	for range o.Entries {
 		f.AddEntry()
@@ -312,17 +328,27 @@
 resume = %q
 operators = { fleet = %q }
 [peers]
-plaintext = true
+%s
 [limits]
 drain-delay = "100ms"
 `, zone, e.Callers, e.Operators, e.Peers, e.PeerProxy.Address(), e.StoreProxy.Address(), f.Objects, f.VMs,
-		strings.Repeat("0f", 32), auth.KeyHash(OperatorKey)))
+		strings.Repeat("0f", 32), auth.KeyHash(OperatorKey), f.peerSecurity()))
 	f.Register(e, zone)
 	e.Start()
 	f.Entries = append(f.Entries, e)
 	return e
 }
 
+// peerSecurity returns the settings of the links between entry processes.
+func (f *Fleet) peerSecurity() string {
+	if f.Certificates == "" {
+		return "plaintext = true"
+	}
+	file := func(name string) string { return filepath.Join(f.Certificates, name) }
+	return fmt.Sprintf("certificate = %q\nprivate-key = %q\nauthority = %q",
+		file("127.0.0.1.pem"), file("127.0.0.1-key.pem"), file(certs.AuthorityFile))
+}
+
 func (f *Fleet) proxy(target string) *faultproxy.Proxy {
 	p, err := faultproxy.Start(target)
 	assert.NilError(f.t, err)
@@ -375,6 +401,9 @@
 	e.cmd, e.output, e.exited = e.fleet.run(e.fleet.bin.entry, "-settings", e.file)
 }
 
+// SettingsFile returns the file with the settings of the process.
+func (e *Entry) SettingsFile() string { return e.file }
+
 // Kill ends the process at once.
 func (e *Entry) Kill() {
 	e.cmd.Process.Kill()
