Measure how the cost of control and of the request path grows

Capacity at the planned size was estimated by hand only. The package slope now measures each cost at several sizes, fits a line and prints the value at the planned size; orioleload slopes runs the measures. Counts are used where there are any, processor times are the lowest of several runs.

--- a/cmd/orioleload/main.go
+++ b/cmd/orioleload/main.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/loadgen"
 	"github.com/oriolefront/oriolefront/internal/measure"
+	"github.com/oriolefront/oriolefront/internal/slope"
 )
 
 const usageText = `orioleload generates load and runs experiments.
@@ -22,6 +24,9 @@
   orioleload measure [-seed N] [-short] [NAME...]
         runs the named experiments, or all, in one process on loopback, and
         prints lines measure=NAME policy=P value=V unit=U ok=true|false
+  orioleload slopes [NAME...]
+        measures how the cost of control and of the request path grows, each
+        within two minutes, and prints lines measure=NAME slope=... plan_value=...
   orioleload run [flags] ENTRY...
         sends an open-loop load to entry processes (IP:port)
 
@@ -44,6 +49,8 @@
 	switch args[0] {
 	case "measure":
 		return runMeasure(ctx, args[1:])
+	case "slopes":
+		return runSlopes(ctx, args[1:])
 	case "run":
 		return runLoad(ctx, args[1:])
 	case "-h", "-help", "--help", "help":
@@ -83,6 +90,23 @@
 	return 0
 }
 
+func runSlopes(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("slopes", flag.ExitOnError)
+	flags.Parse(args)
+	names := slope.Names()
+	for _, name := range flags.Args() {
+		if !slices.Contains(names, name) {
+			fmt.Fprintf(os.Stderr, "unknown measure %q, allowed: %s\n", name, strings.Join(names, ", "))
+			return 2
+		}
+	}
+	if err := slope.Run(ctx, os.Stdout, flags.Args()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
 func runLoad(ctx context.Context, args []string) int {
 	flags := flag.NewFlagSet("run", flag.ExitOnError)
 	model := flags.String("model", "catalogue", "`model` to ask for")
--- a/internal/lab/entry.go
+++ b/internal/lab/entry.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// Stopped says whether the process was stopped or aborted.
+func (e *Entry) Stopped() bool { return e.stopped.Load() }
+
 // Abort ends the process at once, as a crash does.
 func (e *Entry) Abort() {
 	e.stopped.Store(true)
--- /dev/null
+++ b/internal/slope/config.go
@@ -0,0 +1,138 @@
+package slope
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/confsync"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/store/storefake"
+)
+
+// configCost measures one changed target in configurations of growing size.
+func configCost(context.Context) ([]Result, error) {
+	var all []*series
+	for _, by := range []struct {
+		name  string
+		sizes []int
+		plan  float64
+		make  func(n int) *config.Config
+	}{
+		{"targets", []int{1_000, 3_000, 6_000, planTargets}, planTargets, func(n int) *config.Config { return world(n, 10, virtualAddress) }},
+		{"accounts", []int{2_000, 8_000, 15_000, planAccounts}, planAccounts, func(n int) *config.Config { return world(10, n, virtualAddress) }},
+	} {
+		replay := &series{name: "replay_cpu_" + by.name, unit: "seconds of a patch per object", planX: by.plan}
+		replayBytes := &series{name: "replay_alloc_" + by.name, unit: "bytes allocated by a patch per object", planX: by.plan}
+		accept := &series{name: "accept_cpu_" + by.name, unit: "seconds of a patch per object", planX: by.plan}
+		ledger := &series{name: "ledger_cpu_" + by.name, unit: "seconds of a patch in the ledger per object", planX: by.plan}
+		for _, n := range by.sizes {
+			base, err := declared(by.make(n))
+			if err != nil {
+				return nil, err
+			}
+			if err := patchPoint(base, float64(n), replay, replayBytes, accept, ledger); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, replay, replayBytes, accept, ledger)
+	}
+	return resultsOf(all...), nil
+}
+
+func patchPoint(base *config.Config, x float64, replay, replayBytes, accept, ledger *series) error {
+	patch, err := onePatch(base, 2)
+	if err != nil {
+		return err
+	}
+	record, next, err := config.Accept(base, patch, time.Now())
+	if err != nil {
+		return err
+	}
+	const runs = 7
+	accept.add(x, lowestCPU(runs, func() { config.Accept(base, patch, time.Now()) }).Seconds())
+	replay.add(x, lowestCPU(runs, func() { config.Replay(base, record) }).Seconds())
+	replayBytes.add(x, allocated(func() { config.Replay(base, record) }))
+	ledger.add(x, ledgerPatchCPU(base, next).Seconds())
+	return nil
+}
+
+// ledgerPatchCPU returns what the ledger does for a new version.
+func ledgerPatchCPU(base, next *config.Config) time.Duration {
+	lowest := time.Hour
+	for range 3 {
+		holder := &config.Holder{}
+		holder.Raise(base)
+		l, _ := newLedgerOn(holder)
+		holder.Raise(next)
+		lowest = min(lowest, cpuOf(func() { l.Reserve(targetName(0), 0) }))
+	}
+	return lowest
+}
+
+// patchFetch measures the bytes of following another VM's patches.
+func patchFetch(ctx context.Context) ([]Result, error) {
+	log := slog.New(slog.DiscardHandler)
+	s := confsync.New(confsync.Options{
+		Table: storefake.NewTable(), Objects: storefake.NewObjects(), Holder: &config.Holder{}, Caller: answering{},
+		Quorum: func() bool { return true }, Peers: func() []membership.Peer { return nil }, HeldSeats: func() int { return 1 },
+		StoreContact: func() {}, Log: log, Metrics: metrics.NewSet(),
+	})
+	server, client := link.NewServer(link.Plaintext(), log), link.NewClient(link.Plaintext(), log)
+	defer server.Close()
+	defer client.Close()
+	s.Register(server)
+	address, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.Run(running)
+	if err := submitPatches(ctx, s, 80); err != nil {
+		return nil, err
+	}
+	bytes := &series{name: "patch_fetch", unit: "bytes/s of a VM, in and out, per change a day", planX: planChangesPerDay}
+	for _, changes := range []int{10, 20, 40, 80} {
+		before := client.Stats()
+		for v := range uint64(changes) {
+			request := map[string]any{"a": v, "u": v + 1, "o": 0}
+			if err := client.Call(ctx, address, confsync.MessageFetch, request, nil); err != nil {
+				return nil, err
+			}
+		}
+		after := client.Stats()
+		bytes.add(float64(changes), float64(after.BytesIn+after.BytesOut-before.BytesIn-before.BytesOut)/secondsPerDay)
+	}
+	return resultsOf(bytes), nil
+}
+
+// submitPatches submits the declaration of targets and then one change each.
+func submitPatches(ctx context.Context, s *confsync.Syncer, n int) error {
+	base := world(20, 1, virtualAddress)
+	first := config.Diff(config.Empty(), base)
+	for i := range n {
+		patch, err := onePatch(base, i)
+		if err != nil {
+			return err
+		}
+		patch.Base = uint64(i)
+		if i == 0 {
+			patch.Operations = first
+		}
+		for try := 0; ; try++ {
+			if _, err = s.Submit(ctx, patch); err == nil {
+				break
+			}
+			if try == 20 {
+				return err
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/slope/fleet.go
@@ -0,0 +1,120 @@
+package slope
+
+import (
+	"context"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/lab"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/store/httpstore"
+)
+
+// quietLab returns the options of a lab of entry processes without requests.
+func quietLab(entries int) lab.Options {
+	o := lab.Bibliobuz()
+	o.Entries = entries
+	o.Engines = 3
+	o.Plain = 0
+	o.Engine.ColdFor = 0
+	return o
+}
+
+// control is what entry processes have exchanged.
+type control struct {
+	link  link.Stats
+	store httpstore.Stats
+}
+
+func controlOf(entries []*lab.Entry) (sum control) {
+	for _, e := range entries {
+		sum.link = sum.link.Add(e.Process.LinkStats())
+		s := e.Process.StoreStats()
+		sum.store.Table.Reads += s.Table.Reads
+		sum.store.Table.Writes += s.Table.Writes
+		sum.store.VMs.Reads += s.VMs.Reads
+	}
+	return sum
+}
+
+// fleet measures whole entry processes without requests.
+func fleet(ctx context.Context) ([]Result, error) {
+	bytes := &series{name: "fleet_link_bytes", unit: "bytes/s of a VM, in and out, per VM", planX: planVMs}
+	messages := &series{name: "fleet_link_messages", unit: "messages/s of a VM, in and out, per VM", planX: planVMs}
+	reads := &series{name: "fleet_table_reads", unit: "reads/s of all VMs per VM, while the least intervals apply"}
+	writes := &series{name: "fleet_table_writes", unit: "writes/s of all VMs per VM, while the least intervals apply"}
+	lists := &series{name: "fleet_list_reads", unit: "reads/s of the VM list by all VMs per VM", planX: planVMs}
+	heap := &series{name: "fleet_heap", unit: "heap and stacks of all entry processes per VM, 3 engines"}
+	for _, n := range []int{3, 6, 9, 12, 15} {
+		heapBefore := heapBytes()
+		l, err := lab.Start(ctx, quietLab(n))
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(3 * time.Second)
+		const window = 12 * time.Second
+		before := controlOf(l.Entries)
+		time.Sleep(window)
+		after := controlOf(l.Entries)
+		x, perSecond := float64(n), 1/window.Seconds()
+		bytes.add(x, float64(after.link.BytesIn+after.link.BytesOut-before.link.BytesIn-before.link.BytesOut)*perSecond/x)
+		messages.add(x, float64(after.link.MessagesIn+after.link.MessagesOut-before.link.MessagesIn-before.link.MessagesOut)*perSecond/x)
+		reads.add(x, float64(after.store.Table.Reads-before.store.Table.Reads)*perSecond)
+		writes.add(x, float64(after.store.Table.Writes-before.store.Table.Writes)*perSecond)
+		lists.add(x, float64(after.store.VMs.Reads-before.store.VMs.Reads)*perSecond)
+		heap.add(x, heapBytes()-heapBefore)
+		l.Close()
+		time.Sleep(time.Second)
+	}
+	return resultsOf(bytes, messages, reads, writes, lists, heap), nil
+}
+
+// replacement measures what replaced VMs add to the messages and store calls of
+// all VMs. A replaced VM shuts down gracefully and a new one starts.
+func replacement(ctx context.Context) ([]Result, error) {
+	bytes := &series{name: "replacement_bytes", unit: "bytes on links of all VMs per replaced VM"}
+	messages := &series{name: "replacement_messages", unit: "messages on links of all VMs per replaced VM"}
+	reads := &series{name: "replacement_reads", unit: "table reads per replaced VM"}
+	writes := &series{name: "replacement_writes", unit: "table writes per replaced VM"}
+	l, err := lab.Start(ctx, quietLab(6))
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	time.Sleep(3 * time.Second)
+	for _, replaced := range []int{0, 1, 2, 4, 0, 3} {
+		const window = 14 * time.Second
+		before, end := controlOf(l.Entries), time.Now().Add(window)
+		for range replaced {
+			if err := replaceOne(ctx, l); err != nil {
+				return nil, err
+			}
+		}
+		time.Sleep(time.Until(end))
+		after := controlOf(l.Entries)
+		x := float64(replaced)
+		bytes.add(x, float64(after.link.BytesIn+after.link.BytesOut-before.link.BytesIn-before.link.BytesOut))
+		messages.add(x, float64(after.link.MessagesIn+after.link.MessagesOut-before.link.MessagesIn-before.link.MessagesOut))
+		reads.add(x, float64(after.store.Table.Reads-before.store.Table.Reads))
+		writes.add(x, float64(after.store.Table.Writes-before.store.Table.Writes))
+	}
+	return resultsOf(bytes, messages, reads, writes), nil
+}
+
+// replaceOne stops the oldest running entry process and starts another.
+func replaceOne(ctx context.Context, l *lab.Lab) error {
+	for i, e := range l.Entries {
+		if e.Stopped() {
+			continue
+		}
+		if err := e.Stop(ctx); err != nil {
+			return err
+		}
+		l.VMs.Remove(e.Settings.Listen.PeerAddress())
+		next, err := l.AddEntry(i)
+		if err != nil {
+			return err
+		}
+		return next.AwaitReady(ctx, 20*time.Second)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/slope/ledger.go
@@ -0,0 +1,94 @@
+package slope
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/capacity"
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/membership"
+	"github.com/oriolefront/oriolefront/internal/seat"
+)
+
+// aloneHolding holds seat 0 and knows no other holder.
+type aloneHolding struct{}
+
+// Seats implements seat.Holding.
+func (aloneHolding) Seats() []seat.Seat { return []seat.Seat{{Index: 0, Epoch: 3}} }
+
+// HolderOf implements seat.Holding.
+func (aloneHolding) HolderOf(int) (string, uint64, bool) { return "", 0, false }
+
+// AttemptPrefix implements seat.Holding.
+func (aloneHolding) AttemptPrefix() (string, error) { return "0.3", nil }
+
+// aloneMembers is a View without peers.
+func aloneMembers() *membership.View {
+	return membership.New(membership.Options{Self: membership.Instance{Address: "10.9.9.9:7946", StartNumber: 1}, Caller: answering{}})
+}
+
+// newLedger returns a ledger for a configuration, with its attachment.
+func newLedger(cfg *config.Config) (*capacity.Ledger, membership.Attachment) {
+	holder := &config.Holder{}
+	cfg.Version = 1
+	holder.Raise(cfg)
+	return newLedgerOn(holder)
+}
+
+func newLedgerOn(holder *config.Holder) (*capacity.Ledger, membership.Attachment) {
+	l := capacity.New(capacity.Options{
+		Config: holder, Seats: aloneHolding{}, Members: aloneMembers(), Caller: answering{}, Log: slog.New(slog.DiscardHandler),
+	}, handlers{})
+	return l, l.Attachment()
+}
+
+// warmDoublings makes every declared target warm.
+const warmDoublings = 6
+
+// warmAll makes all targets but the first n warm.
+func warmAll(l *capacity.Ledger, targets, n int) {
+	for i := range targets {
+		name := targetName(i)
+		l.Observe(name, capacity.Observation{At: time.Now(), StartNumber: 1_700_000_000_000_000_000})
+		for range 4 * warmDoublings {
+			if i < n {
+				break
+			}
+			l.Observe(name, capacity.Observation{
+				At: time.Now(), StartNumber: 1_700_000_000_000_000_000, Finished: true, SpeedRatio: 1,
+			})
+		}
+	}
+}
+
+// stages measures the stages of targets in heartbeats.
+func stages(context.Context) ([]Result, error) {
+	size := &series{name: "stage_bytes", unit: "bytes of a heartbeat per target that is not warm, until the bound of 384"}
+	cost := &series{name: "stage_cpu", unit: "seconds to make one heartbeat's stages per declared target", planX: planTargets}
+	for _, cold := range []int{0, 2, 4, 6, 8} {
+		l, attachment := newLedger(world(100, 0, virtualAddress))
+		warmAll(l, 100, cold)
+		l.Run(stoppedAfter(4 * time.Second)) // what changed just now is sent first for 3 s
+		size.add(float64(cold), float64(len(attachment.Produce())))
+	}
+	for _, targets := range []int{1_000, 3_000, 6_000, planTargets} {
+		l, attachment := newLedger(world(targets, 0, virtualAddress))
+		warmAll(l, targets, 0)
+		l.Run(stoppedAfter(4 * time.Second))
+		const rounds = 200
+		used := lowestCPU(5, func() {
+			for range rounds {
+				attachment.Produce()
+			}
+		})
+		cost.add(float64(targets), used.Seconds()/rounds)
+	}
+	return resultsOf(size, cost), nil
+}
+
+func stoppedAfter(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
--- /dev/null
+++ b/internal/slope/usage.go
@@ -0,0 +1,52 @@
+package slope
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// cpuOf returns the processor time that the process uses during f.
+func cpuOf(f func()) time.Duration {
+	before := cpuTime()
+	f()
+	return cpuTime() - before
+}
+
+// lowestCPU runs f several times and returns the lowest processor time: other
+// users of the machine make a run slower, never faster.
+func lowestCPU(runs int, f func()) time.Duration {
+	lowest := cpuOf(f)
+	for range runs - 1 {
+		lowest = min(lowest, cpuOf(f))
+	}
+	return lowest
+}
+
+// heapBytes returns the live heap and the stacks in use. A second collection
+// frees what finalizers and pools held during the first.
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// allocated returns the bytes that f allocates.
+func allocated(f func()) float64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return float64(after.TotalAlloc - before.TotalAlloc)
+}
