Give the stand-in's attempts without an id distinct ids

Two concurrent direct requests within one tick of the clock got the same id and the second was refused as already held. The id now has a random part.

--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -83,7 +84,7 @@
 		req.MaxTokens = defaultMaxTokens
 	}
 	if req.RequestID == "" {
-		req.RequestID = fmt.Sprintf("direct-%d", time.Now().UnixNano())
+		req.RequestID = fmt.Sprintf("direct-%d-%x", time.Now().UnixNano(), rand.Uint64())
 	}
 	return req, nil
 }
