Keep what a heap figure is made of alive, and print measured points

The key index showed a negative size because the configuration that it was made of was freed between the two looks at the heap. Lines also show the value measured at the planned size where it is within the range.

--- a/internal/slope/fit.go
+++ b/internal/slope/fit.go
@@ -65,6 +65,11 @@
 		r.Name, r.Line.Slope, r.Line.Intercept, r.Unit, r.Line.R2, r.Line.MinX, r.Line.MaxX)
 	if r.PlanX > 0 {
 		text += fmt.Sprintf(" plan_x=%g plan_value=%.6g", r.PlanX, r.Line.At(r.PlanX))
+		for _, p := range r.Points {
+			if p.X == r.PlanX {
+				text += fmt.Sprintf(" plan_measured=%.6g", p.Y)
+			}
+		}
 	}
 	return text
 }
--- a/internal/slope/fit_test.go
+++ b/internal/slope/fit_test.go
@@ -21,4 +21,8 @@
 
 	line := Result{Name: "x", Unit: "bytes", Line: exact, PlanX: 590}.String()
 	assert.Assert(t, strings.Contains(line, "plan_value=1183"), line)
+	assert.Assert(t, !strings.Contains(line, "plan_measured"), line)
+
+	measured := Result{Name: "x", Unit: "bytes", Points: []Point{{1, 5}, {4, 12}}, Line: exact, PlanX: 4}.String()
+	assert.Assert(t, strings.Contains(measured, "plan_value=11 plan_measured=12"), measured)
 }
--- a/internal/slope/heap.go
+++ b/internal/slope/heap.go
@@ -25,8 +25,8 @@
 			return nil, err
 		}
 		targets.add(float64(n), grew)
-		ledger.add(float64(n), heapOf(func() any { l, _ := newLedger(cfg); return l }))
-		collector.add(float64(n), heapOf(func() any { return newCollector(cfg) }))
+		ledger.add(float64(n), heapOf(cfg, func() any { l, _ := newLedger(cfg); return l }))
+		collector.add(float64(n), heapOf(cfg, func() any { return newCollector(cfg) }))
 	}
 	for _, n := range []int{2_000, 8_000, 15_000, planAccounts} {
 		cfg, grew, err := heapOfConfig(world(0, n, virtualAddress))
@@ -34,20 +34,22 @@
 			return nil, err
 		}
 		accounts.add(float64(n), grew)
-		keys.add(float64(n), heapOf(func() any { return keysOf(cfg) }))
+		keys.add(float64(n), heapOf(cfg, func() any { return keysOf(cfg) }))
 	}
 	for _, n := range []int{50, 200, 400, planVMs} {
-		peers.add(float64(n), heapOf(func() any { view, _, _, _ := viewWith(ctx, n); return view }))
+		peers.add(float64(n), heapOf(nil, func() any { view, _, _, _ := viewWith(ctx, n); return view }))
 	}
 	return resultsOf(targets, accounts, keys, ledger, collector, peers), nil
 }
 
-// heapOf returns the memory that the value made by f holds.
-func heapOf(f func() any) float64 {
+// heapOf returns the memory that the value made by f holds. What it is made of
+// must live until the second look at the heap, or its release would count.
+func heapOf(madeOf any, f func() any) float64 {
 	before := heapBytes()
 	value := f()
 	grew := heapBytes() - before
 	runtime.KeepAlive(value)
+	runtime.KeepAlive(madeOf)
 	return grew
 }
 
@@ -55,7 +57,7 @@
 // holds. The declarations it was made of are not counted.
 func heapOfConfig(from *config.Config) (cfg *config.Config, bytes float64, err error) {
 	document := config.Document{Version: 1, Objects: from.Document().Objects}
-	bytes = heapOf(func() any {
+	bytes = heapOf(document, func() any {
 		cfg, err = document.Config()
 		return cfg
 	})
