Share refreshes and attachments among heartbeats

Every answered heartbeat recomputed the view of all peers, and every request of a peer made all attachments anew, so the cost of membership grew with the square of the number of VMs. Answers that bring no new instance now share one refresh in 50 ms, and attachments are reused for 50 ms. Both only make this VM know less contact than there was, which is the safe side.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -17,6 +17,7 @@
 	var running sync.WaitGroup
 	v.startBeats(ctx, &running)
 	running.Wait()
+	v.Refresh()
 }
 
 // startBeats sends a heartbeat to each peer to which none is under way.
@@ -67,12 +68,7 @@
 		Seats:         v.seats.Leased(),
 		ConfigVersion: v.version(),
 		Leaving:       v.leaving.Load(),
-		Attachments:   map[string][]byte{},
-	}
-	for _, a := range v.attachments {
-		if data := a.Produce(); data != nil {
-			h.Attachments[a.Name] = data
-		}
+		Attachments:   v.produce(),
 	}
 	contact, direct := v.contact(), time.Duration(v.ownContact.Load())
 	now := v.Now()
@@ -81,6 +77,31 @@
 	return h
 }
 
+// producedAttachments are the attachments as they were last made.
+type producedAttachments struct {
+	mu   sync.Mutex
+	at   time.Duration
+	data map[string][]byte // not modified once it is set
+}
+
+// produce returns the attachments, which may be AttachmentAge old.
+func (v *View) produce() map[string][]byte {
+	p := &v.produced
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := v.Now()
+	if p.data != nil && now-p.at < AttachmentAge {
+		return p.data
+	}
+	p.at, p.data = now, map[string][]byte{}
+	for _, a := range v.attachments {
+		if data := a.Produce(); data != nil {
+			p.data[a.Name] = data
+		}
+	}
+	return p.data
+}
+
 // beat exchanges heartbeats with one peer.
 func (v *View) beat(ctx context.Context, address string, h *Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, v.o.CallTimeout)
@@ -95,20 +116,46 @@
 		v.o.Log.Warn("heartbeat was answered by another VM", "peer", address, "answered", answer.From.Address)
 		return
 	}
-	if v.confirm(&answer, sent) {
-		v.consume(&answer)
+	counts, changed := v.confirm(&answer, sent)
+	if !counts {
+		return
+	}
+	v.consume(&answer)
+	if changed {
+		v.Refresh()
+	} else {
+		v.refreshSoon()
+	}
+}
+
+// refreshSoon refreshes within RefreshSpacing, and at once if the last refresh
+// is older than that. An older snapshot errs on the safe side: it shows less
+// contact than there was.
+func (v *View) refreshSoon() {
+	wait := RefreshSpacing - (v.Now() - v.snapshot.Load().at)
+	if wait <= 0 || v.o.Sequential {
 		v.Refresh()
+		return
+	}
+	if v.refreshDue.Swap(true) {
+		return
 	}
+	time.AfterFunc(wait, func() {
+		v.refreshDue.Store(false)
+		v.Refresh()
+	})
 }
 
-// confirm takes the answer to a heartbeat that was sent at the given time, and
-// reports whether the answer counts.
-func (v *View) confirm(answer *Heartbeat, sent time.Duration) bool {
+// confirm takes the answer to a heartbeat that was sent at the given time. It
+// reports whether the answer counts, and whether the instance or its leaving
+// flag is new.
+func (v *View) confirm(answer *Heartbeat, sent time.Duration) (counts, changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	p := v.learn(answer, v.Now())
-	if p == nil {
-		return false
+	p := v.peer(answer.From.Address)
+	instance, leaving := p.instance, p.leaving
+	if v.learn(answer, v.Now()) == nil {
+		return false, false
 	}
 	if sent >= p.confirmed {
 		p.confirmed = sent
@@ -117,7 +164,7 @@
 	// The contact was this long before an answer that came after sent.
 	p.contact = max(p.contact, contactAt(sent, answer.ContactMs))
 	p.direct = max(p.direct, contactAt(sent, answer.DirectMs))
-	return true
+	return true, p.instance != instance || p.leaving != leaving
 }
 
 // maxAgeMs bounds ages from the wire, so that they cannot overflow.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -34,6 +34,14 @@
 	// RememberMissing is how long after the last question an address that was
 	// never on the list is remembered.
 	RememberMissing = time.Minute
+	// RefreshSpacing is the least time between two refreshes for answers to
+	// heartbeats. A refresh costs time in proportion to the number of peers, so
+	// one for each answer would cost its square.
+	RefreshSpacing = 50 * time.Millisecond
+	// AttachmentAge is how long attachments are reused. To make them costs time
+	// in proportion to the number of targets and accounts, and each peer asks
+	// for them with each of its heartbeats.
+	AttachmentAge = 50 * time.Millisecond
 	// KeepUnlisted is how long a silent VM that is not on the list is still
 	// sent heartbeats.
 	KeepUnlisted = time.Minute
@@ -135,6 +143,10 @@
 	leaving atomic.Bool
 
 	attachments []Attachment
+	produced    producedAttachments
+
+	// refreshDue is true while a refresh is scheduled.
+	refreshDue atomic.Bool
 
 	// ownContact is the start of the latest own store call that succeeded.
 	ownContact atomic.Int64
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -231,3 +232,48 @@
 	defer f.mu.Unlock()
 	assert.Equal(t, testing.AllocsPerRun(100, func() { f.Verdict(); f.Quorum() }), 0.0)
 }
+
+// manyPeers answers for every peer with a fixed list.
+type manyPeers []Entry
+
+// Call implements link.Caller.
+func (manyPeers) Call(_ context.Context, address, _ string, _, reply any) error {
+	*reply.(*Heartbeat) = Heartbeat{From: Instance{address, 1}, Seats: []Claim{{Index: 1, Epoch: 1}}, ContactMs: 0}
+	return nil
+}
+
+func (m manyPeers) List(context.Context) ([]Entry, error) { return m, nil }
+
+// Guards against a refresh for each answer, and attachments for each request,
+// whose cost grows with the square of the number of VMs, and against answers
+// that never reach the snapshot.
+func TestAnswersShareRefreshes(t *testing.T) {
+	const peers = 200
+	var m manyPeers
+	for i := range peers {
+		m = append(m, Entry{PeerAddress: fmt.Sprintf("10.0.0.%d:7", i)})
+	}
+	var refreshes, produced atomic.Int64
+	v := New(Options{Self: Instance{"10.0.1.1:7", 1}, Caller: m, Lister: m})
+	v.SetSeats(fixedSeats{0, 2})
+	v.OnUpdate(func() { refreshes.Add(1) })
+	v.Attach(Attachment{Name: "load", Produce: func() []byte { produced.Add(1); return []byte("17") }})
+	v.ReadList(t.Context())
+	v.Beat(t.Context()) // each instance is new, which is published at once
+	refreshes.Store(0)
+	began := time.Now()
+	var running sync.WaitGroup
+	v.startBeats(t.Context(), &running)
+	running.Wait()
+	payload, err := msgpack.Marshal(&Heartbeat{From: Instance{"10.0.0.1:7", 1}})
+	assert.NilError(t, err)
+	for range peers {
+		_, err := v.handleHeartbeat(t.Context(), payload)
+		assert.NilError(t, err)
+	}
+	periods := int64(time.Since(began)/RefreshSpacing) + 2
+	assert.Check(t, refreshes.Load() <= periods, "%d refreshes", refreshes.Load())
+	assert.Check(t, produced.Load() <= periods+1, "made %d times", produced.Load())
+	eventually(t, "the answers are published", func() bool { return v.snapshot.Load().at >= began.Sub(v.base) })
+	assert.Assert(t, v.Quorum() && v.Verdict() == Connected)
+}
