--- a/internal/slope/fleet.go
+++ b/internal/slope/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/lab"
 	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/store"
 	"github.com/oriolefront/oriolefront/internal/store/httpstore"
 )
 
@@ -43,6 +45,8 @@
 	reads := &series{name: "fleet_table_reads", unit: "reads/s of all VMs per VM, while the least intervals apply"}
 	writes := &series{name: "fleet_table_writes", unit: "writes/s of all VMs per VM, while the least intervals apply"}
 	lists := &series{name: "fleet_list_reads", unit: "reads/s of the VM list by all VMs per VM", planX: planVMs}
+	rowBytes := &series{name: "seat_rows_bytes", unit: "bytes of one reading of all seat rows per seat", planX: planVMs}
+	listBytes := &series{name: "list_bytes", unit: "bytes of one reading of the VM list per VM", planX: planVMs}
 	heap := &series{name: "fleet_heap", unit: "heap and stacks of all entry processes per VM, 3 engines"}
 	for _, n := range []int{3, 6, 9, 12, 15} {
 		heapBefore := heapBytes()
@@ -62,10 +66,25 @@
 		writes.add(x, float64(after.store.Table.Writes-before.store.Table.Writes)*perSecond)
 		lists.add(x, float64(after.store.VMs.Reads-before.store.VMs.Reads)*perSecond)
 		heap.add(x, heapBytes()-heapBefore)
+		rows, err := l.Table.Inner().Scan(ctx, "seat/", "", 1000)
+		if err != nil {
+			return nil, err
+		}
+		rowBytes.add(x, encodedSize(store.RowsAnswer{Rows: rows}))
+		listBytes.add(x, encodedSize(store.VMList{VMs: l.VMs.List()}))
 		l.Close()
 		time.Sleep(time.Second)
 	}
-	return resultsOf(bytes, messages, reads, writes, lists, heap), nil
+	return resultsOf(bytes, messages, reads, writes, lists, rowBytes, listBytes, heap), nil
+}
+
+// encodedSize returns the size of an answer of the platform's services.
+func encodedSize(v any) float64 {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	return float64(len(data))
 }
 
 // replacement measures what replaced VMs add to the messages and store calls of
--- a/internal/slope/links.go
+++ b/internal/slope/links.go
@@ -92,16 +92,18 @@
 	bytes := &series{name: "link_bytes", unit: "bytes/s of a VM, in and out, per VM", planX: planVMs}
 	messages := &series{name: "link_messages", unit: "messages/s of a VM, in and out, per VM", planX: planVMs}
 	cpu := &series{name: "link_cpu", unit: "cores of a VM per VM", planX: planVMs}
+	heap := &series{name: "link_heap", unit: "bytes of heap and stacks of a VM per VM", planX: planVMs}
 	for _, n := range []int{3, 10, 20, 40, 60} {
-		if err := linkPoint(ctx, n, bytes, messages, cpu); err != nil {
+		if err := linkPoint(ctx, n, bytes, messages, cpu, heap); err != nil {
 			return nil, err
 		}
 	}
-	return resultsOf(bytes, messages, cpu), nil
+	return resultsOf(bytes, messages, cpu, heap), nil
 }
 
-func linkPoint(ctx context.Context, n int, bytes, messages, cpu *series) error {
+func linkPoint(ctx context.Context, n int, bytes, messages, cpu, heap *series) error {
 	const rounds = 10
+	heapBefore := heapBytes()
 	vms, err := startLinked(n)
 	defer func() {
 		for _, vm := range vms {
@@ -123,6 +125,7 @@
 	messages.add(float64(n), float64(after.MessagesIn+after.MessagesOut-before.MessagesIn-before.MessagesOut)*perSecond)
 	used := lowestCPU(5, func() { beatAll(ctx, vms, rounds) })
 	cpu.add(float64(n), used.Seconds()*perSecond)
+	heap.add(float64(n), (heapBytes()-heapBefore)/float64(n))
 	return nil
 }
 
