--- a/internal/slope/fit.go
+++ b/internal/slope/fit.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 )
 
 // Point is one measurement.
@@ -65,11 +66,26 @@
 		r.Name, r.Line.Slope, r.Line.Intercept, r.Unit, r.Line.R2, r.Line.MinX, r.Line.MaxX)
 	if r.PlanX > 0 {
 		text += fmt.Sprintf(" plan_x=%g plan_value=%.6g", r.PlanX, r.Line.At(r.PlanX))
-		for _, p := range r.Points {
-			if p.X == r.PlanX {
-				text += fmt.Sprintf(" plan_measured=%.6g", p.Y)
-			}
+	}
+	for _, p := range r.Points {
+		if r.PlanX > 0 && p.X == r.PlanX {
+			text += fmt.Sprintf(" plan_measured=%.6g", p.Y)
 		}
 	}
+	if r.Line.R2 < minR2 {
+		text += " points=" + r.points()
+	}
 	return text
 }
+
+// minR2 is the fit below which a line says too little and the points are shown.
+const minR2 = 0.9
+
+// points returns the points as X:Y, separated by commas.
+func (r Result) points() string {
+	parts := make([]string, len(r.Points))
+	for i, p := range r.Points {
+		parts[i] = fmt.Sprintf("%g:%.4g", p.X, p.Y)
+	}
+	return strings.Join(parts, ",")
+}
--- a/internal/slope/fit_test.go
+++ b/internal/slope/fit_test.go
@@ -24,5 +24,7 @@
 	assert.Assert(t, !strings.Contains(line, "plan_measured"), line)
 
 	measured := Result{Name: "x", Unit: "bytes", Points: []Point{{1, 5}, {4, 12}}, Line: exact, PlanX: 4}.String()
+	poor := Result{Points: []Point{{1, 1}, {2, 9}, {3, 2}}, Line: noisy}.String()
+	assert.Assert(t, strings.HasSuffix(poor, " points=1:1,2:9,3:2"), poor)
 	assert.Assert(t, strings.Contains(measured, "plan_value=11 plan_measured=12"), measured)
 }
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -45,6 +45,7 @@
 		{"replacement", replacement},
 		{"gateway", gatewayCPU},
 		{"streams", streamHeap},
+		{"routing", routing},
 	}
 }
 
