Read the VM list less often in fleets of more than 50 VMs

At 590 VMs that is 590 reads/s of the fleet and 46.8 KB/s for each VM, four times what all control may use (computed). The interval now is the number of listed VMs / 50 s where that is longer: 50 reads/s and 4.0 KB/s at 590 (computed). Fleets of up to 50 VMs are unchanged. The age at which a list no longer shows that a VM is gone follows the interval.

--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -65,11 +65,17 @@
 	maps.DeleteFunc(l.missing, func(_ string, m missing) bool { return now-m.asked > RememberMissing })
 }
 
+// interval returns the time between two reads. It grows with the number of VMs
+// listed, so that the whole fleet stays below FleetListReads.
+func (l *listState) interval(o *Options) time.Duration {
+	return max(o.ListInterval, time.Duration(len(l.entries))*time.Second/FleetListReads)
+}
+
 // gone reports whether the list shows that the VM at address no longer exists.
 // An address that was never seen on the list has to be missing for
 // AbsentWindow after it was first asked for.
 func (l *listState) gone(address string, now time.Duration, o *Options) bool {
-	if now-l.readAt > 3*o.ListInterval+o.CallTimeout {
+	if now-l.readAt > 3*l.interval(o)+o.CallTimeout {
 		return false
 	}
 	if _, listed := l.entries[address]; listed {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -22,8 +22,12 @@
 	// CallTimeout bounds one heartbeat or question to a peer. A survey has to
 	// end well before the takeover silence (10 s) less HeardWindow.
 	CallTimeout = time.Second
-	// ListInterval is the time between two reads of the platform's VM list.
+	// ListInterval is the shortest time between two reads of the platform's VM
+	// list.
 	ListInterval = time.Second
+	// FleetListReads is the number of reads of the list a second that all VMs
+	// together may make; with more VMs the interval grows.
+	FleetListReads = 50
 	// AbsentWindow is how long an address that was never on the list has to be
 	// missing from it before its VM counts as gone, because the list lags and a
 	// new VM may run before it is listed.
@@ -216,9 +220,9 @@
 // Run reads the list and sends heartbeats until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { v.every(ctx, v.o.ListInterval, func() { v.ReadList(ctx) }) })
+	running.Go(func() { v.every(ctx, v.listInterval, func() { v.ReadList(ctx) }) })
 	running.Go(func() {
-		v.every(ctx, v.o.Interval, func() {
+		v.every(ctx, func() time.Duration { return v.o.Interval }, func() {
 			v.Refresh()
 			v.startBeats(ctx, &running)
 		})
@@ -227,11 +231,24 @@
 	running.Wait()
 }
 
-func (v *View) every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
+// listInterval returns the time between two reads of the list.
+func (v *View) listInterval() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.list.interval(&v.o)
+}
+
+// every calls f at an interval that f may change.
+func (v *View) every(ctx context.Context, interval func() time.Duration, f func()) {
+	current := interval()
+	ticker := time.NewTicker(current)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		f()
+		if next := interval(); next != current {
+			current = next
+			ticker.Reset(current)
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -277,3 +277,20 @@
 	eventually(t, "the answers are published", func() bool { return v.snapshot.Load().at >= began.Sub(v.base) })
 	assert.Assert(t, v.Quorum() && v.Verdict() == Connected)
 }
+
+// Guards against a platform list that a large fleet reads hundreds of times a
+// second, and against a slower pace that makes a fresh list look too old to show
+// that a VM is gone.
+func TestLargeFleetsReadTheListLessOften(t *testing.T) {
+	f := newFake(t)
+	assert.Equal(t, f.listInterval(), ListInterval)
+	entries := make([]Entry, 590)
+	for i := range entries {
+		entries[i].PeerAddress = fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
+	}
+	f.list.update(entries, f.Now())
+	assert.Equal(t, f.listInterval(), 590*time.Second/FleetListReads)
+	f.list.update(entries[1:], f.Now())
+	assert.Check(t, f.list.gone(entries[0].PeerAddress, f.Now()+f.listInterval(), &f.o))
+	assert.Check(t, !f.list.gone(entries[0].PeerAddress, f.Now()+4*f.listInterval(), &f.o))
+}
