--- a/internal/capacity/inventory.go
+++ b/internal/capacity/inventory.go
@@ -184,19 +184,34 @@
 
 // Followed returns the engines that this VM follows.
 func (l *Ledger) Followed() (all []Followed) {
-	for id, b := range l.view.Load().books {
-		b.mu.Lock()
-		f := Followed{Target: id, Order: b.limits.order}
-		follows := false
-		for _, k := range b.buckets {
-			follows = follows || k.active
-			f.Urgent = f.Urgent || (k.active && !(k.listed && k.clean))
-		}
-		plain := b.limits.plain
-		b.mu.Unlock()
-		if follows && !plain {
+	for _, b := range l.view.Load().books {
+		if f, ok := b.followed(); ok {
 			all = append(all, f)
 		}
 	}
 	return all
 }
+
+// FollowedTarget returns one engine if this VM follows it. It spares callers
+// that ask for every target a pass over all of them each time.
+func (l *Ledger) FollowedTarget(target string) (Followed, bool) {
+	b := l.view.Load().books[target]
+	if b == nil {
+		return Followed{}, false
+	}
+	return b.followed()
+}
+
+// followed describes the book's target, and reports whether it is an engine in
+// which a seat of this VM has a share.
+func (b *book) followed() (Followed, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := Followed{Target: b.id, Order: b.limits.order}
+	follows := false
+	for _, k := range b.buckets {
+		follows = follows || k.active
+		f.Urgent = f.Urgent || (k.active && !(k.listed && k.clean))
+	}
+	return f, follows && !b.limits.plain
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -303,14 +303,13 @@
 // ordersTarget says whether this VM holds the first held seat of a target. It
 // spares the store conflicts; the order lease is what makes orders safe.
 func (p *Process) ordersTarget(target string) bool {
-	for _, f := range p.ledger.Followed() {
-		if f.Target != target {
-			continue
-		}
-		for _, index := range f.Order {
-			if address, _, ok := p.seats.HolderOf(index); ok {
-				return address == p.members.Self().Address
-			}
+	f, ok := p.ledger.FollowedTarget(target)
+	if !ok {
+		return false
+	}
+	for _, index := range f.Order {
+		if address, _, ok := p.seats.HolderOf(index); ok {
+			return address == p.members.Self().Address
 		}
 	}
 	return false
--- a/internal/slope/config.go
+++ b/internal/slope/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"time"
 
@@ -30,6 +31,9 @@
 		replayBytes := &series{name: "replay_alloc_" + by.name, unit: "bytes allocated by a patch per object", planX: by.plan}
 		accept := &series{name: "accept_cpu_" + by.name, unit: "seconds of a patch per object", planX: by.plan}
 		ledger := &series{name: "ledger_cpu_" + by.name, unit: "seconds of a patch in the ledger per object", planX: by.plan}
+		size := &series{name: "snapshot_bytes_" + by.name, unit: "bytes of an encoded snapshot per object", planX: by.plan}
+		decode := &series{name: "snapshot_cpu_" + by.name, unit: "seconds to decode and check a snapshot per object", planX: by.plan}
+		keys := &series{name: "keys_cpu_" + by.name, unit: "seconds to make the key index per object", planX: by.plan}
 		for _, n := range by.sizes {
 			base, err := declared(by.make(n))
 			if err != nil {
@@ -38,8 +42,12 @@
 			if err := patchPoint(base, float64(n), replay, replayBytes, accept, ledger); err != nil {
 				return nil, err
 			}
+			if err := snapshotPoint(base, float64(n), size, decode); err != nil {
+				return nil, err
+			}
+			keys.add(float64(n), lowestCPU(5, func() { keysOf(base) }).Seconds())
 		}
-		all = append(all, replay, replayBytes, accept, ledger)
+		all = append(all, replay, replayBytes, accept, ledger, size, decode, keys)
 	}
 	return resultsOf(all...), nil
 }
@@ -61,6 +69,31 @@
 	return nil
 }
 
+// snapshotPoint measures a snapshot, which a new VM starts from.
+func snapshotPoint(base *config.Config, x float64, size, decode *series) error {
+	document := base.Document()
+	document.Version = config.SnapshotInterval - 1
+	before, err := document.Config()
+	if err != nil {
+		return err
+	}
+	patch, err := onePatch(before, 2)
+	if err != nil {
+		return err
+	}
+	record, next, err := config.Accept(before, patch, time.Now())
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(config.NewSnapshot(next, before.Hash, record))
+	if err != nil {
+		return err
+	}
+	size.add(x, float64(len(data)))
+	decode.add(x, lowestCPU(3, func() { _, _, err = config.DecodeSnapshot(data) }).Seconds())
+	return err
+}
+
 // ledgerPatchCPU returns what the ledger does for a new version.
 func ledgerPatchCPU(base, next *config.Config) time.Duration {
 	lowest := time.Hour
--- a/internal/slope/ledger.go
+++ b/internal/slope/ledger.go
@@ -65,6 +65,9 @@
 // stages measures the stages of targets in heartbeats.
 func stages(context.Context) ([]Result, error) {
 	size := &series{name: "stage_bytes", unit: "bytes of a heartbeat per target that is not warm, until the bound of 384"}
+	idle := &series{name: "ledger_run_cpu", unit: "cores of the ledger's periodic work per declared target", planX: planTargets}
+	list := &series{name: "followed_cpu", unit: "seconds to list the followed targets per declared target", planX: planTargets}
+	ask := &series{name: "orders_cpu", unit: "seconds to ask once for each declared target whether it is followed, per target", planX: planTargets}
 	cost := &series{name: "stage_cpu", unit: "seconds to make one heartbeat's stages per declared target", planX: planTargets}
 	for _, cold := range []int{0, 2, 4, 6, 8} {
 		l, attachment := newLedger(world(100, 0, virtualAddress))
@@ -75,7 +78,23 @@
 	for _, targets := range []int{1_000, 3_000, 6_000, planTargets} {
 		l, attachment := newLedger(world(targets, 0, virtualAddress))
 		warmAll(l, targets, 0)
-		l.Run(stoppedAfter(4 * time.Second))
+		const settle = 4 * time.Second
+		idle.add(float64(targets), cpuOf(func() { l.Run(stoppedAfter(settle)) }).Seconds()/settle.Seconds())
+		const lists = 20
+		listing := lowestCPU(5, func() {
+			for range lists {
+				l.Followed()
+			}
+		})
+		list.add(float64(targets), listing.Seconds()/lists)
+		asking := lowestCPU(5, func() {
+			for range lists {
+				for i := range targets {
+					l.FollowedTarget(targetName(i))
+				}
+			}
+		})
+		ask.add(float64(targets), asking.Seconds()/lists)
 		const rounds = 200
 		used := lowestCPU(5, func() {
 			for range rounds {
@@ -84,7 +103,7 @@
 		})
 		cost.add(float64(targets), used.Seconds()/rounds)
 	}
-	return resultsOf(size, cost), nil
+	return resultsOf(size, cost, idle, list, ask), nil
 }
 
 func stoppedAfter(d time.Duration) context.Context {
