Keep the key index while versions share their accounts

A patch copies only the maps of the kinds that it touches, so the index is now kept while the accounts map is the same. Most changes do not touch accounts and then cost nothing here.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,13 +98,13 @@
 	draining atomic.Bool
 	active   sync.WaitGroup
 	cleanup  sync.WaitGroup
-	keys     atomic.Pointer[keysOfVersion]
+	keys     atomic.Pointer[accountKeys]
 }
 
-// keysOfVersion is the key index that belongs to a configuration version.
-type keysOfVersion struct {
-	version uint64
-	keys    *auth.Keys
+// accountKeys is the key index of the accounts of one or more versions.
+type accountKeys struct {
+	accounts map[string]config.Account
+	keys     *auth.Keys
 }
 
 // New returns a Gateway.
@@ -161,20 +162,28 @@
 var errNoConfig = apierror.New(apierror.KindUnavailable, apierror.NotRun,
 	"this VM has no configuration yet", "try again later, or another VM").WithRetryAfter(time.Second)
 
-// keysFor returns the key index of cfg; it is built once for each version.
+// keysFor returns the key index of cfg. It is kept while versions share their
+// accounts, because a version copies only the maps that its patch touches, and
+// to index all accounts would delay the first request of each version.
 func (g *Gateway) keysFor(cfg *config.Config) *auth.Keys {
-	if k := g.keys.Load(); k != nil && k.version == cfg.Version {
+	if k := g.keys.Load(); k != nil && sameMap(k.accounts, cfg.Accounts) {
 		return k.keys
 	}
 	hashes := make(map[string][]string, len(cfg.Accounts))
 	for name, a := range cfg.Accounts {
 		hashes[name] = a.KeyHashes
 	}
-	k := &keysOfVersion{version: cfg.Version, keys: auth.NewKeys(hashes)}
+	k := &accountKeys{accounts: cfg.Accounts, keys: auth.NewKeys(hashes)}
 	g.keys.Store(k)
 	return k.keys
 }
 
+// sameMap reports whether a and b are one map, not whether their content is
+// equal.
+func sameMap(a, b map[string]config.Account) bool {
+	return reflect.ValueOf(a).UnsafePointer() == reflect.ValueOf(b).UnsafePointer()
+}
+
 // serveReady tells the balancer whether new requests should come here.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if err := g.notReady(); err != nil {
