--- a/internal/slope/fleet.go
+++ b/internal/slope/fleet.go
@@ -44,7 +44,7 @@
 	messages := &series{name: "fleet_link_messages", unit: "messages/s of a VM, in and out, per VM", planX: planVMs}
 	reads := &series{name: "fleet_table_reads", unit: "reads/s of all VMs per VM, while the least intervals apply"}
 	writes := &series{name: "fleet_table_writes", unit: "writes/s of all VMs per VM, while the least intervals apply"}
-	lists := &series{name: "fleet_list_reads", unit: "reads/s of the VM list by all VMs per VM", planX: planVMs}
+	lists := &series{name: "fleet_list_reads", unit: "reads/s of the VM list by all VMs per VM, while the least interval applies"}
 	rowBytes := &series{name: "seat_rows_bytes", unit: "bytes of one reading of all seat rows per seat", planX: planVMs}
 	listBytes := &series{name: "list_bytes", unit: "bytes of one reading of the VM list per VM", planX: planVMs}
 	heap := &series{name: "fleet_heap", unit: "heap and stacks of all entry processes per VM, 3 engines"}
