--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -10,14 +10,11 @@
 
 // Figures of the planned size; docs/design.md, section 1.
 const (
-	planVMs            = 590
-	planTargets        = 12_000
-	planFollowed       = 325 // targets that a VM follows with 16 of 590 seats
-	planAccounts       = 22_000
-	planChangesPerDay  = 16_000
-	planRequests       = 100    // a second, for each VM
-	planTokens         = 24_000 // relayed a second, for each VM
-	planReplacedPerDay = 3_300
+	planVMs           = 590
+	planTargets       = 12_000
+	planFollowed      = 325 // targets that a VM follows with 16 of 590 seats
+	planAccounts      = 22_000
+	planChangesPerDay = 16_000
 )
 
 const secondsPerDay = 24 * 60 * 60
