--- a/internal/slope/fit.go
+++ b/internal/slope/fit.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 )
 
 // Point is one measurement.
@@ -66,5 +67,25 @@
 	if r.PlanX > 0 {
 		text += fmt.Sprintf(" plan_x=%g plan_value=%.6g", r.PlanX, r.Line.At(r.PlanX))
 	}
+	for _, p := range r.Points {
+		if r.PlanX > 0 && p.X == r.PlanX {
+			text += fmt.Sprintf(" plan_measured=%.6g", p.Y)
+		}
+	}
+	if r.Line.R2 < minR2 {
+		text += " points=" + r.points()
+	}
 	return text
 }
+
+// minR2 is the fit below which a line says too little and the points are shown.
+const minR2 = 0.9
+
+// points returns the points as X:Y, separated by commas.
+func (r Result) points() string {
+	parts := make([]string, len(r.Points))
+	for i, p := range r.Points {
+		parts[i] = fmt.Sprintf("%g:%.4g", p.X, p.Y)
+	}
+	return strings.Join(parts, ",")
+}
