Divide the store's ceilings by the seats of the configuration

The client divided by 9 whatever the configuration said, so a fleet of 590 VMs could send 18,700 writes a second where the store takes several hundred.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -67,6 +67,7 @@
 		p.admission.Run,
 		p.claims.Run,
 		p.cleanClaims,
+		p.followSeats,
 		func(ctx context.Context) { p.orders.Run(ctx, p.config, p.clients.get, p.ordersTarget) },
 	}
 }
@@ -126,6 +127,27 @@
 	return nil
 }
 
+// seatsInterval is how soon a changed number of seats changes the share of the
+// store's ceilings.
+const seatsInterval = time.Second
+
+// followSeats divides the store's ceilings by the seats of the configuration.
+// The number of configured seats bounds the VMs that are at work.
+func (p *Process) followSeats(ctx context.Context) {
+	ticker := time.NewTicker(seatsInterval)
+	defer ticker.Stop()
+	for {
+		if seats := p.configuredSeats(); seats > 0 {
+			p.store.SetSeats(seats)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // cleanClaims deletes expired claims in bounded batches.
 func (p *Process) cleanClaims(ctx context.Context) {
 	ticker := time.NewTicker(claimCleanInterval)
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -142,6 +142,14 @@
 	return c
 }
 
+// SetSeats changes the number that the fleet's ceilings are divided by, when
+// the configuration changes it.
+func (c *Client) SetSeats(seats int) {
+	share := ceilingMargin / float64(max(1, seats))
+	c.reads.setRate(FleetReadsPerSecond * share)
+	c.writes.setRate(FleetWritesPerSecond * share)
+}
+
 func (c *Client) newService(name, base string, onContact func()) *service {
 	return &service{
 		name:      name,
--- a/internal/store/httpstore/limiter.go
+++ b/internal/store/httpstore/limiter.go
@@ -14,7 +14,7 @@
 // Callers wait in a queue of bounded length, first come first served. It saves
 // up no burst: bursts of each VM after an outage would add up over the fleet.
 type pacer struct {
-	interval time.Duration
+	interval atomic.Int64 // nanoseconds
 	queue    int
 	waiting  atomic.Int64
 	turn     chan struct{} // held by the caller whose turn is next
@@ -22,11 +22,14 @@
 }
 
 func newPacer(perSecond float64, queue int) *pacer {
-	return &pacer{
-		interval: time.Duration(float64(time.Second) / perSecond),
-		queue:    queue,
-		turn:     make(chan struct{}, 1),
-	}
+	p := &pacer{queue: queue, turn: make(chan struct{}, 1)}
+	p.setRate(perSecond)
+	return p
+}
+
+// setRate changes the calls a second for the calls to come.
+func (p *pacer) setRate(perSecond float64) {
+	p.interval.Store(int64(float64(time.Second) / perSecond))
 }
 
 // wait returns when the caller may send. It fails with ErrUnavailable when the
@@ -37,7 +40,7 @@
 	if ahead >= int64(p.queue) {
 		return merry.Prepend(store.ErrUnavailable, "queue of calls to the store is full")
 	}
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < time.Duration(ahead)*p.interval {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < time.Duration(ahead*p.interval.Load()) {
 		return merry.Prepend(store.ErrUnavailable, "the deadline is before the call's turn")
 	}
 	select {
@@ -59,7 +62,7 @@
 	}
 	// The interval counts from now and not from the time that was due: a
 	// process that was paused must not send the missed calls all at once.
-	p.next = time.Now().Add(p.interval)
+	p.next = time.Now().Add(time.Duration(p.interval.Load()))
 	return nil
 }
 
