Use one implementation of the retry and byte budgets

The gateway had its own copies of both budgets beside internal/budget, so a change to one would have missed the other.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -31,6 +31,9 @@
 // Give returns n bytes.
 func (b *Bytes) Give(n int64) { b.free.Add(n) }
 
+// Free returns the bytes that are not taken.
+func (b *Bytes) Free() int64 { return b.free.Load() }
+
 // RetryOptions size a retry budget.
 type RetryOptions struct {
 	Ratio     float64 // retries for each request
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -94,7 +94,7 @@
 // run makes attempts until the answer is complete, the deadline passes or no
 // retry is left.
 func (d *dispatch) run(ctx context.Context) error {
-	d.g.budget.onRequest()
+	d.g.budget.OnRequest()
 	for {
 		err := d.tryOnce(ctx)
 		if err == nil {
@@ -106,7 +106,7 @@
 		if !retryable(err) {
 			return err
 		}
-		if d.attempt >= maxAttempts || !d.g.budget.take() {
+		if d.attempt >= maxAttempts || !d.g.budget.Take() {
 			return d.failure(err)
 		}
 		d.g.Metrics.retries.Inc()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/oriolefront/oriolefront/internal/admission"
 	"github.com/oriolefront/oriolefront/internal/apierror"
 	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/resume"
@@ -91,8 +92,8 @@
 type Gateway struct {
 	Options
 	counter  atomic.Uint64
-	held     *byteBudget
-	budget   *retryBudget
+	held     *budget.Bytes
+	budget   *budget.Retry
 	ratio    *tokenRatio
 	draining atomic.Bool
 	active   sync.WaitGroup
@@ -100,6 +101,10 @@
 	keys     atomic.Pointer[keysOfVersion]
 }
 
+// retryOptions allow one retry for ten requests, so that a failing fleet is
+// not loaded with repeated work, and a few retries on a VM with little traffic.
+var retryOptions = budget.RetryOptions{Ratio: 0.1, PerSecond: 3, Max: 100}
+
 // keysOfVersion is the key index that belongs to a configuration version.
 type keysOfVersion struct {
 	version uint64
@@ -110,8 +115,8 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		Options: o,
-		held:    newByteBudget(o.Limits.HeldBytes),
-		budget:  newRetryBudget(),
+		held:    budget.NewBytes(o.Limits.HeldBytes),
+		budget:  budget.NewRetry(retryOptions),
 		ratio:   newTokenRatio(),
 	}
 }
--- /dev/null
+++ b/internal/gateway/ratio.go
@@ -0,0 +1,43 @@
+package gateway
+
+import "sync"
+
+const (
+	bytesPerToken = 5
+	// ratioStep is the weight of one observation in the learned ratio.
+	ratioStep = 0.05
+)
+
+// tokenRatio estimates prompt tokens from bytes, corrected for each model by
+// the counts that engines report.
+type tokenRatio struct {
+	mu     sync.Mutex
+	factor map[string]float64
+}
+
+func newTokenRatio() *tokenRatio { return &tokenRatio{factor: map[string]float64{}} }
+
+func (t *tokenRatio) estimate(model string, promptBytes int) int {
+	t.mu.Lock()
+	f, ok := t.factor[model]
+	t.mu.Unlock()
+	if !ok {
+		f = 1
+	}
+	return max(1, int(float64(promptBytes)/bytesPerToken*f))
+}
+
+// learn corrects the factor of a model by the engine's count of a prompt.
+func (t *tokenRatio) learn(model string, promptBytes, tokens int) {
+	if promptBytes == 0 || tokens <= 0 {
+		return
+	}
+	seen := float64(tokens) * bytesPerToken / float64(promptBytes)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f, ok := t.factor[model]
+	if !ok {
+		f = 1
+	}
+	t.factor[model] = f + ratioStep*(seen-f)
+}
