Make the engine stand-in strict about imported KV cache

The stand-in ignored kv_imports, so a test could not see an answer whose imported prefix was gone. A start or export with imports now fails before any work when a handle does not exist on its engine (GET /kv/{handle}), and the attempt breaks when a handle disappears or its engine is silent for 1 s. A prompt range may end after the prompt, which means its end, because callers only estimate token counts.

--- a/internal/engine/body.go
+++ b/internal/engine/body.go
@@ -20,11 +20,15 @@
 	// Imports are handles of exported KV cache that precede the prompt.
 	Imports []ImportedKV
 	// PromptFrom and PromptTo limit the prompt to a range of tokens; both 0
-	// means the whole prompt.
+	// means the whole prompt. A PromptTo after the end means the end, so that
+	// a caller that only estimates the length loses no tokens.
 	PromptFrom int
 	PromptTo   int
 }
 
+// PromptEnd is a PromptTo after the end of every prompt.
+const PromptEnd = 1<<31 - 1
+
 // ImportedKV names exported KV cache on another engine.
 type ImportedKV struct {
 	Address string `json:"address"`
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -31,6 +31,7 @@
 const (
 	maxErrorBodyBytes = 4 << 10
 	endMark           = "[DONE]"
+	chatPath          = "/v1/chat/completions"
 )
 
 // NewTransport returns the HTTP transport that all engine clients share.
@@ -58,6 +59,15 @@
 
 // Start implements Client.
 func (c *HTTPClient) Start(ctx context.Context, r StartRequest) (Stream, error) {
+	resp, err := c.post(ctx, r.Path, r)
+	if err != nil {
+		return nil, err
+	}
+	return openStream(resp)
+}
+
+// post sends the body of an attempt and says whether a failure is "not run".
+func (c *HTTPClient) post(ctx context.Context, path string, r StartRequest) (*http.Response, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{
 		// A connection that was obtained may carry bytes of the request even
@@ -65,20 +75,20 @@
 		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
 	}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+r.Path, bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, merry.Prepend(ErrNotRun, err.Error())
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderAttempt, r.Attempt)
 	resp, err := c.http.Do(req)
-	if err != nil {
-		if !wrote.Load() {
-			return nil, merry.Prepend(ErrNotRun, err.Error())
-		}
-		return nil, merry.Prepend(ErrInterrupted, err.Error())
+	switch {
+	case err == nil:
+		return resp, nil
+	case !wrote.Load():
+		return nil, merry.Prepend(ErrNotRun, err.Error())
 	}
-	return openStream(resp)
+	return nil, merry.Prepend(ErrInterrupted, err.Error())
 }
 
 // Resume implements Client.
@@ -167,9 +177,26 @@
 
 // Export implements Client.
 func (c *HTTPClient) Export(ctx context.Context, r StartRequest) (Export, error) {
+	path := "/kv/export"
+	if r.Path == chatPath {
+		path += "?chat=1"
+	}
+	resp, err := c.post(ctx, path, r)
+	if err != nil {
+		return Export{}, err
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp); err != nil {
+		return Export{}, err
+	}
 	var export Export
-	err := c.call(ctx, http.MethodPost, "/kv/export", r.Body, &export)
-	return export, err
+	if err := json.NewDecoder(resp.Body).Decode(&export); err != nil {
+		return Export{}, merry.Prepend(ErrInterrupted, "decode engine answer to "+path+": "+err.Error())
+	}
+	if export.Handle == "" {
+		return Export{}, merry.Prepend(ErrInterrupted, "engine answered an export without a handle")
+	}
+	return export, nil
 }
 
 // DeleteExport implements Client.
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -24,11 +24,14 @@
 	ContinueFrom int             `json:"continue_from"`
 	PromptFrom   int             `json:"prompt_from"`
 	PromptTo     int             `json:"prompt_to"`
-	Imports      []struct {
-		Address string `json:"address"`
-		Handle  string `json:"handle"`
-	} `json:"kv_imports"`
-	chat bool
+	Imports      []kvImport      `json:"kv_imports"`
+	chat         bool
+}
+
+// kvImport names an export on another engine.
+type kvImport struct {
+	Address string `json:"address"`
+	Handle  string `json:"handle"`
 }
 
 func (r *completionRequest) promptJSON() []byte {
@@ -40,10 +43,11 @@
 
 // promptTokens is the number of tokens that this engine has to prefill.
 func (r *completionRequest) promptTokens() int {
+	whole := max(1, len(r.promptJSON())/BytesPerToken)
 	if r.PromptTo > 0 {
-		return r.PromptTo - r.PromptFrom
+		return max(1, min(r.PromptTo, whole)-r.PromptFrom)
 	}
-	return max(1, len(r.promptJSON())/BytesPerToken)
+	return whole
 }
 
 // PromptHash identifies a prompt given as the JSON value that was sent.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -217,7 +217,9 @@
 		a.prefillLeft -= used
 		budget -= used
 		if a.prefillLeft <= 0 {
-			e.cache.insert(a.request.promptJSON())
+			if a.request.PromptFrom == 0 {
+				e.cache.insert(a.request.promptJSON())
+			}
 			a.credit = 1 // the first token follows the prefill at once
 		}
 	}
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/engine"
@@ -27,6 +26,7 @@
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /cache_events", e.serveCacheEvents)
 	mux.HandleFunc("POST /kv/export", e.serveExport)
+	mux.HandleFunc("GET /kv/{handle}", e.serveHandle)
 	mux.HandleFunc("DELETE /kv/{handle}", e.serveDeleteExport)
 	mux.HandleFunc("POST /orders", e.serveOrder)
 	mux.HandleFunc("POST /control", e.serveControl)
@@ -91,6 +91,9 @@
 // start admits a request into the engine's memory.
 func (e *Engine) start(req completionRequest) (*attempt, error) {
 	hash := PromptHash(req.promptJSON())
+	if err := checkImports(req.Imports); err != nil {
+		return nil, err // nothing was done yet
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, exists := e.attempts[req.RequestID]; exists {
@@ -98,7 +101,10 @@
 	}
 	e.arrivals++
 	tokens := req.promptTokens()
-	cached := min(e.cache.match(req.promptJSON()), tokens-1)
+	cached := 0
+	if req.PromptFrom == 0 { // the cache holds beginnings of prompts
+		cached = min(e.cache.match(req.promptJSON()), tokens-1)
+	}
 	a := &attempt{
 		request:     req,
 		hash:        hash,
@@ -109,6 +115,7 @@
 		readTo:      req.ContinueFrom,
 		end:         max(req.MaxTokens, req.ContinueFrom),
 		wake:        make(chan struct{}, 1),
+		detachedAt:  time.Now(),
 	}
 	e.attempts[req.RequestID] = a
 	e.record.add(Entry{Event: "start", ID: req.RequestID, StartNumber: e.startNumber, Prompt: hash})
@@ -116,6 +123,9 @@
 	if a.lost {
 		panic(http.ErrAbortHandler) // the request made the engine fall over
 	}
+	if len(req.Imports) > 0 {
+		go e.watchImports(a)
+	}
 	select {
 	case e.work <- struct{}{}:
 	default:
@@ -286,57 +296,6 @@
 	writeJSON(w, events)
 }
 
-// serveExport prefills the prompt and keeps the result under a handle.
-func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	req, err := decodeCompletion(r.Body, strings.Contains(r.URL.RawQuery, "chat"))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	req.MaxTokens = 1
-	a, err := e.start(req)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	for {
-		e.mu.Lock()
-		lost, done := a.lost, a.finished()
-		if done && !lost {
-			x := &kvExport{handle: "kv-" + req.RequestID, attempt: req.RequestID, tokens: req.promptTokens(), madeAt: time.Now()}
-			e.exports[x.handle] = x
-			delete(e.attempts, req.RequestID)
-			e.mu.Unlock()
-			e.record.add(Entry{Event: "export", ID: req.RequestID})
-			writeJSON(w, engine.Export{Handle: x.handle, Attempt: x.attempt, KVTokens: x.tokens})
-			return
-		}
-		e.mu.Unlock()
-		if lost {
-			panic(http.ErrAbortHandler)
-		}
-		select {
-		case <-a.wake:
-		case <-time.After(10 * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (e *Engine) serveDeleteExport(w http.ResponseWriter, r *http.Request) {
-	handle := r.PathValue("handle")
-	e.mu.Lock()
-	x := e.exports[handle]
-	delete(e.exports, handle)
-	e.mu.Unlock()
-	if x == nil {
-		http.Error(w, "no such handle", http.StatusNotFound)
-		return
-	}
-	e.record.add(Entry{Event: "delete-export", ID: x.attempt})
-}
-
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o engine.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
