Plan and reserve prompts that are larger than one engine

Requests above an engine's memory were refused, and requests between 95 % and 100 % of kv-tokens were admitted although no VM can ever reserve that much.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,6 +38,9 @@
 	// Exclude names targets that failed this request before. A request with
 	// such names is a retry and is not charged to the account again.
 	Exclude []string
+
+	// endSplit gives back the turn of a request that is split.
+	endSplit func()
 }
 
 func (w *Work) tokens() int { return w.PromptTokens + w.OutputTokens }
@@ -59,6 +62,11 @@
 	Declared config.Target
 	Client   engine.Client
 	Reason   string
+	// Earlier holds the grants of the parts before this one when the prompt is
+	// larger than one target; each needs its own Named and Done. From and To
+	// are then the range of the prompt, in tokens, that this grant is for.
+	Earlier  []*Grant
+	From, To int
 	// Priority orders the attempt within the engine; a lower one goes first.
 	Priority int
 	// Broken is closed when the target was given up after failed polls, or
@@ -86,9 +94,11 @@
 
 // Options are what a Controller is wired to.
 type Options struct {
-	Config    *config.Holder
-	Clients   func(address string) engine.Client
-	Capacity  capacity.Capacity
+	Config   *config.Holder
+	Clients  func(address string) engine.Client
+	Capacity capacity.Capacity
+	// Groups reserves for prompts larger than one target; nil refuses them.
+	Groups    GroupReserver
 	Collector *load.Collector
 	// Verdict is the isolation verdict of this VM.
 	Verdict func() membership.Verdict
@@ -106,6 +116,7 @@
 	accounts *accountLimits
 	wake     chan struct{}
 	loans    *loans
+	splits   *splits
 
 	mu     sync.Mutex
 	queues map[string]*queue // by service
@@ -129,6 +140,7 @@
 		accounts: newAccountLimits(o.Seats),
 		wake:     make(chan struct{}, 1),
 		queues:   map[string]*queue{},
+		splits:   newSplits(),
 	}
 	c.loans = newLoans(o.Capacity, c.kick)
 	return c
@@ -205,7 +217,12 @@
 	if err != nil {
 		return nil, err
 	}
-	grant, err := c.placeOrWait(ctx, w, cfg, contract, arrived)
+	var grant *Grant
+	if c.needsSplit(w) {
+		grant, err = c.admitSplit(ctx, w, arrived)
+	} else {
+		grant, err = c.placeOrWait(ctx, w, cfg, contract, arrived)
+	}
 	if err != nil {
 		c.accounts.refund(w, charged)
 		return nil, err
--- a/internal/admission/assess.go
+++ b/internal/admission/assess.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/capacity"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/scheduler"
 )
@@ -58,7 +59,7 @@
 
 // fits refuses a request that is larger than the memory of each target.
 func fits(s *scheduler.Snapshot, w *Work) error {
-	largest := s.Largest(w.Service, w.Model)
+	largest := capacity.Usable(s.Largest(w.Service, w.Model))
 	if largest == 0 || w.tokens() <= largest {
 		return nil
 	}
--- a/internal/capacity/reserveall.go
+++ b/internal/capacity/reserveall.go
@@ -22,10 +22,24 @@
 	Tokens int
 }
 
+// NeedError says which target of several could not be reserved.
+type NeedError struct {
+	Target string
+	Err    error
+}
+
+// Error implements error.
+func (e *NeedError) Error() string { return fmt.Sprintf("target %q: %v", e.Target, e.Err) }
+
+// Unwrap returns the cause.
+func (e *NeedError) Unwrap() error { return e.Err }
+
 // ReserveAll reserves on several targets, all or none, in target-id order. On
-// failure it releases everything and tries again until ctx ends. The result has
-// the order of the needs.
-func (l *Ledger) ReserveAll(ctx context.Context, needs []Need) ([]*Reservation, error) {
+// failure it releases everything and tries again until ctx ends; the error then
+// holds the NeedError of the last try. What is borrowed for it is lent until
+// the time until, which is apart from ctx because the use outlives the call.
+// The result has the order of the needs.
+func (l *Ledger) ReserveAll(ctx context.Context, needs []Need, until time.Time) ([]*Reservation, error) {
 	sorted := make([]int, len(needs))
 	for i := range sorted {
 		sorted[i] = i
@@ -33,7 +47,7 @@
 	sort.Slice(sorted, func(a, b int) bool { return needs[sorted[a]].Target < needs[sorted[b]].Target })
 	pause := retryJitterMin
 	for {
-		got, err := l.reserveOnce(ctx, needs, sorted)
+		got, err := l.reserveOnce(ctx, needs, sorted, until)
 		if err == nil {
 			return got, nil
 		}
@@ -47,27 +61,23 @@
 }
 
 // reserveOnce makes one attempt and releases what it took if it fails.
-func (l *Ledger) reserveOnce(ctx context.Context, needs []Need, sorted []int) ([]*Reservation, error) {
+func (l *Ledger) reserveOnce(ctx context.Context, needs []Need, sorted []int, until time.Time) ([]*Reservation, error) {
 	got := make([]*Reservation, len(needs))
 	for _, i := range sorted {
-		r, err := l.reserveOrBorrow(ctx, needs[i])
+		r, err := l.reserveOrBorrow(ctx, needs[i], until)
 		if err != nil {
 			releaseAll(got)
-			return nil, err
+			return nil, &NeedError{Target: needs[i].Target, Err: err}
 		}
 		got[i] = r
 	}
 	return got, nil
 }
 
-func (l *Ledger) reserveOrBorrow(ctx context.Context, n Need) (*Reservation, error) {
+func (l *Ledger) reserveOrBorrow(ctx context.Context, n Need, until time.Time) (*Reservation, error) {
 	if r, ok := l.Reserve(n.Target, n.Tokens); ok {
 		return r, nil
 	}
-	until, ok := ctx.Deadline()
-	if !ok {
-		until = l.Now().Add(longestLoan)
-	}
 	if err := l.Borrow(ctx, n.Target, Room{Tokens: n.Tokens, Slots: 1}, until); err != nil {
 		return nil, err
 	}
--- a/internal/capacity/shares.go
+++ b/internal/capacity/shares.go
@@ -82,12 +82,17 @@
 	plain bool
 }
 
+// Usable returns the part of a target's KV memory that is shared out.
+func Usable(kvTokens int) int {
+	if kvTokens < 10_000 {
+		return kvTokens * memoryShare / 100
+	}
+	return kvTokens / 100 * memoryShare
+}
+
 func newLimits(cfg *config.Config, id string, order []int) limits {
 	t := cfg.Targets[id]
-	warm := Room{Tokens: t.KVTokens / 100 * memoryShare, Slots: t.MaxRunning}
-	if t.KVTokens < 10_000 {
-		warm.Tokens = t.KVTokens * memoryShare / 100
-	}
+	warm := Room{Tokens: Usable(t.KVTokens), Slots: t.MaxRunning}
 	cold := Room{Tokens: t.ColdTokens, Slots: t.ColdRunning}
 	return limits{
 		warm:  warm,
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -160,7 +160,7 @@
 		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Zone: s.VM.Zone, Log: p.log,
 	})
 	p.admission = admission.NewController(admission.Options{
-		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Collector: p.collector,
+		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Groups: p.ledger, Collector: p.collector,
 		Verdict: p.members.Verdict, Seats: p.seatCounts, Policy: policy, Log: p.log,
 	})
 	p.members.Attach(p.admission.Attachment())
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -154,6 +154,7 @@
 		Backlog:         f.backlog,
 		OtherBacklog:    f.other,
 		Running:         f.report.Running,
+		KVUsed:          f.report.KVUsed,
 		SentAtReport:    f.atReport.sent,
 		StartedAtReport: f.atReport.started,
 		EndedAtReport:   f.atReport.ended,
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -77,8 +77,10 @@
 	Backlog [Levels]float64
 	// OtherBacklog is the part of the backlog that other VMs sent.
 	OtherBacklog float64
-	// Running is the reported number of requests.
+	// Running is the reported number of requests, and KVUsed the reported
+	// memory in use, in tokens.
 	Running int
+	KVUsed  int
 	// SentAtReport, StartedAtReport and EndedAtReport are the counters of Live
 	// that the report can include.
 	SentAtReport    [Levels]int64
