--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,11 +38,17 @@
 	// Exclude names targets that failed this request before. A request with
 	// such names is a retry and is not charged to the account again.
 	Exclude []string
+	// Retry marks a retry for which no target is to be left out.
+	Retry bool
+	// Whole forbids to split the work over several targets.
+	Whole bool
 
 	// endSplit gives back the turn of a request that is split.
 	endSplit func()
 }
 
+func (w *Work) isRetry() bool { return w.Retry || len(w.Exclude) > 0 }
+
 func (w *Work) tokens() int { return w.PromptTokens + w.OutputTokens }
 
 func (w *Work) bytes() int64 {
@@ -195,7 +201,7 @@
 // asRetry corrects the outcome of a refused retry: an earlier attempt may have
 // run, so that "not run" would be untrue.
 func asRetry(w *Work, refusal *apierror.Error) *apierror.Error {
-	if len(w.Exclude) == 0 {
+	if !w.isRetry() {
 		return refusal
 	}
 	corrected := *refusal
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -144,7 +144,7 @@
 		l.accounts[w.Account] = s
 		s.level = l.burst(w.Account, limitsOf(c), now)
 	}
-	if len(w.Exclude) > 0 {
+	if w.isRetry() {
 		s.concurrent++
 		return false, nil
 	}
--- a/internal/admission/split.go
+++ b/internal/admission/split.go
@@ -98,7 +98,7 @@
 
 // needsSplit reports whether a request is larger than one target takes.
 func (c *Controller) needsSplit(w *Work) bool {
-	if c.options.Groups == nil {
+	if c.options.Groups == nil || w.Whole {
 		return false
 	}
 	largest := c.options.Collector.Snapshot().Largest(w.Service, w.Model)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -323,6 +323,9 @@
 	return p.ledger.Room(target).Tokens*cfg.SharesPerTarget > t.KVTokens/2
 }
 
+// Room returns what this VM may still start on an engine.
+func (p *Process) Room(target string) capacity.Room { return p.ledger.Room(target) }
+
 // mayStart returns an error while this VM may not start new work.
 func (p *Process) mayStart() error {
 	_, err := identity{p}.AttemptPrefix()
--- /dev/null
+++ b/internal/gateway/cleanup.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	cancelTimeout  = 2 * time.Second
+	cancelPauseMax = 2 * time.Second
+	// cancelGiveUp bounds the confirmation of a cancellation. The sweep of the
+	// engine's list of attempts finds what is left after it.
+	cancelGiveUp = 30 * time.Second
+	// lateStartWait is how long after a confirmed cancellation an attempt whose
+	// start was never answered is cancelled once more. Its request may still
+	// have been on the way, or in the buffers of a frozen engine.
+	lateStartWait = 2 * time.Second
+)
+
+func (run *attemptRun) finish() {
+	run.report.Took = time.Since(run.sentAt)
+	run.grant.Done(run.report)
+	if run.parts != nil {
+		run.parts.drop()
+	}
+}
+
+// abandon gives an unfinished attempt's memory back: it cancels the attempt at
+// the engine and releases the reservation once the engine has confirmed it.
+func (g *Gateway) abandon(run *attemptRun, c *call, mayResume bool) {
+	if run.sentAt.IsZero() {
+		run.finish()
+		return
+	}
+	g.cleanup.Add(1)
+	go func() {
+		defer g.cleanup.Done()
+		if mayResume && c.resumable {
+			g.awaitResume(run, c)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), cancelGiveUp)
+		defer cancel()
+		g.confirmCancel(ctx, run)
+		if run.stream == nil {
+			time.Sleep(lateStartWait)
+			g.confirmCancel(ctx, run)
+		}
+		run.finish()
+	}()
+}
+
+// awaitResume leaves an attempt to a caller that may resume it through any VM.
+// It returns when the attempt is over or nobody resumed it in time. A resumed
+// answer may go on until its deadline, and its memory is counted until then.
+func (g *Gateway) awaitResume(run *attemptRun, c *call) {
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	defer cancel()
+	const pollInterval = 500 * time.Millisecond
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	lastAttached := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			held, attached := g.heldByEngine(ctx, run)
+			if attached {
+				lastAttached = now
+			}
+			if !held || now.Sub(lastAttached) > g.Limits.ResumeGrace {
+				return
+			}
+		}
+	}
+}
+
+func (g *Gateway) heldByEngine(ctx context.Context, run *attemptRun) (held, attached bool) {
+	inventory, err := run.grant.Client.Inventory(ctx)
+	if err != nil {
+		return true, false
+	}
+	for _, a := range inventory.Attempts {
+		if a.ID == run.id {
+			return true, a.Attached
+		}
+	}
+	return false, false
+}
+
+// confirmCancel cancels an attempt until the engine has confirmed it.
+func (g *Gateway) confirmCancel(ctx context.Context, run *attemptRun) {
+	g.confirm(ctx, run, "cancellation", func(ctx context.Context) error {
+		return run.grant.Client.Cancel(ctx, run.id)
+	})
+}
+
+// confirm repeats a call that frees memory of an engine until it succeeds.
+func (g *Gateway) confirm(ctx context.Context, run *attemptRun, what string, call func(context.Context) error) {
+	pause := 20 * time.Millisecond
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
+		err := call(callCtx)
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			g.Log.Warn(what+" not confirmed; the sweep of the engine's attempts will find it",
+				"attempt", run.id, "target", run.grant.Target, "error", err)
+			return
+		}
+		pause = min(2*pause, cancelPauseMax)
+	}
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -92,7 +92,6 @@
 			Done:       func(admission.Report) {},
 		},
 		sentAt: time.Now(),
-		cancel: func(error) {},
 	}
 	if err := d.reopen(ctx, run); err != nil {
 		return errAttemptLost.WithCause(err)
@@ -104,7 +103,7 @@
 	}
 	g.abandon(run, c, callerGone(ctx, err))
 	if ctx.Err() != nil {
-		d.attempt = 1
+		d.ran = true
 		return d.contextError(ctx)
 	}
 	if errors.Is(err, engine.ErrInterrupted) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -12,6 +12,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/auth"
@@ -296,12 +298,28 @@
 	return b
 }
 
+// Ports of entry processes are below the range from which the kernel takes
+// those of outgoing connections and of listeners on port 0. A port that is free
+// here would otherwise often be taken before the process listens on it when
+// several labs run at one time.
+const (
+	firstPort = 12_000
+	ports     = 20_000
+)
+
+var portsTaken atomic.Uint64
+
 // freeAddress returns a loopback address that nobody listens on at present.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range ports {
+		port := firstPort + (uint64(os.Getpid())*97+portsTaken.Add(1))%ports
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -36,6 +36,8 @@
 	ReadDelay time.Duration
 	// GiveUpAfter closes the connection after so many events; 0 never.
 	GiveUpAfter int
+	// Resumable asks to keep the answer for a while after a lost connection.
+	Resumable bool
 }
 
 // Result is what the caller experienced.
@@ -127,6 +129,9 @@
 		return result
 	}
 	req.Header.Set("X-Request-Id", r.ID)
+	if r.Resumable {
+		req.Header.Set("X-Resumable", "true")
+	}
 	if r.Timeout > 0 {
 		req.Header.Set("X-Request-Timeout-Ms", fmt.Sprint(r.Timeout.Milliseconds()))
 	}
