Test split prompts and measure them beside short requests

Tests with several stand-ins, two entry processes and the real capacity ledger: whole answers, every member dying or freezing and the VM draining at each of four steps, the caller gone and the deadline at each step, two requests that compete for the same engines, resumption of the last part through another VM, and a short request on an engine that freezes. Each ends with no attempt, export or reservation held.

--- /dev/null
+++ b/internal/gateway/split_test.go
@@ -0,0 +1,328 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/lab"
+	"github.com/oriolefront/oriolefront/internal/loadgen"
+	"github.com/oriolefront/oriolefront/internal/standin"
+)
+
+// Sizes of the small fleet: a prompt of splitPrompt tokens takes three engines.
+const (
+	splitKV     = 4000
+	splitPrompt = 8000
+	splitOutput = 80
+	splitParts  = 3
+)
+
+// splitFleet is a lab with the real capacity ledger and loans between two VMs.
+type splitFleet struct {
+	*lab.Lab
+	client *loadgen.Client
+	begin  time.Time
+}
+
+func startSplit(t *testing.T, engines int, change func(*lab.Options)) *splitFleet {
+	t.Helper()
+	o := lab.Bibliobuz()
+	o.Entries, o.Engines, o.Plain = 2, engines, 0
+	o.Engine = standin.EngineOptions{
+		KVTokens: splitKV, PrefillTokensPerSecond: 8000, DecodeTokensPerSecond: 200,
+		MaxRunning: 16, ColdRunning: 16, ColdTokens: splitKV, Models: lab.DefaultEngine().Models,
+	}
+	if change != nil {
+		change(&o)
+	}
+	l, err := lab.Start(t.Context(), o)
+	assert.NilError(t, err)
+	t.Cleanup(l.Close)
+	f := &splitFleet{Lab: l, client: loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)}
+	f.nothingHeld(t)
+	f.borrowOnce(t)
+	f.nothingHeld(t)
+	f.begin = time.Now()
+	return f
+}
+
+// borrowOnce waits until each VM knows whom to borrow from, which it learns a
+// little after it became ready: it sends prompts above one VM's share.
+func (f *splitFleet) borrowOnce(t *testing.T) {
+	t.Helper()
+	var all sync.WaitGroup
+	for i, address := range f.CallerAddresses() {
+		all.Go(func() {
+			r := f.client.DoAt(t.Context(), address, loadgen.Request{
+				ID: fmt.Sprintf("borrow-%d", i), Model: lab.Model, PromptTokens: f.Options.Engine.KVTokens * 3 / 4,
+				MaxTokens: 1, Timeout: 20 * time.Second,
+			})
+			if !r.Whole {
+				t.Errorf("request above one VM's share: %s", r.Error)
+			}
+		})
+	}
+	all.Wait()
+	time.Sleep(1500 * time.Millisecond) // unused loans go back after 1 s
+}
+
+// nothingHeld waits until no engine holds anything and all VMs together have
+// the whole room of each engine again.
+func (f *splitFleet) nothingHeld(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := f.HeldByEngines(); n > 0 {
+			return poll.Continue("engines hold %d attempts and exports", n)
+		}
+		for _, e := range f.Engines {
+			room, kv := 0, f.Options.Engine.KVTokens
+			for _, entry := range f.Entries {
+				room += entry.Process.Room(e.Name).Tokens
+			}
+			if room < kv/100*95 && len(f.CallerAddresses()) == len(f.Entries) {
+				return poll.Continue("room of %s is %d of %d tokens", e.Name, room, kv/100*95)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(25*time.Second))
+}
+
+func splitRequest(id string) loadgen.Request {
+	return loadgen.Request{ID: id, Model: lab.Model, PromptTokens: splitPrompt, MaxTokens: splitOutput, Timeout: 30 * time.Second}
+}
+
+// members returns the engines in the order in which the parts were started.
+func (f *splitFleet) members() []*lab.Engine {
+	type start struct {
+		at time.Time
+		e  *lab.Engine
+	}
+	var starts []start
+	for _, e := range f.Engines {
+		for _, entry := range e.Record().Entries() {
+			if entry.Event == "start" && entry.At.After(f.begin) {
+				starts = append(starts, start{entry.At, e})
+			}
+		}
+	}
+	slices.SortFunc(starts, func(a, b start) int { return a.at.Compare(b.at) })
+	members := make([]*lab.Engine, len(starts))
+	for i, s := range starts {
+		members[i] = s.e
+	}
+	return members
+}
+
+// steps of a request of three parts; the last one is the answer under way.
+const answerStep = splitParts + 1
+
+// awaitStep waits until a part prefills, or the answer streams.
+func (f *splitFleet) awaitStep(t *testing.T, step int) []*lab.Engine {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.members()) >= min(step, splitParts) {
+			return poll.Success()
+		}
+		return poll.Continue("%d parts were started", len(f.members()))
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(10*time.Second))
+	wait := 100 * time.Millisecond
+	if step == answerStep {
+		wait = 500 * time.Millisecond // the prefill takes 340 ms, the output 400 ms
+	}
+	time.Sleep(wait)
+	return f.members()
+}
+
+func (f *splitFleet) send(r loadgen.Request) <-chan loadgen.Result {
+	result := make(chan loadgen.Result, 1)
+	go func() { result <- f.client.DoAt(context.Background(), f.CallerAddresses()[0], r) }()
+	return result
+}
+
+func assertWhole(t *testing.T, r loadgen.Result) {
+	t.Helper()
+	assert.Assert(t, r.Whole && !r.Wrong, "whole %t wrong %t events %d status %d: %s", r.Whole, r.Wrong, r.Events, r.Status, r.Error)
+}
+
+// Guards against a prompt larger than one engine that is refused, answered
+// wrongly, not checked by the engines, or stays in their memory.
+func TestSplitPromptIsWhole(t *testing.T) {
+	t.Parallel()
+	f := startSplit(t, 5, nil)
+	assertWhole(t, <-f.send(splitRequest("whole")))
+	f.nothingHeld(t)
+	exported, deleted := 0, 0
+	for _, e := range f.Engines {
+		for _, entry := range e.Record().Entries() {
+			switch entry.Event {
+			case "export":
+				exported++
+			case "delete-export":
+				deleted++
+			}
+		}
+		assert.Equal(t, e.Record().Summary().Overloads, 0)
+	}
+	assert.Equal(t, exported, splitParts-1)
+	assert.Equal(t, deleted, splitParts-1)
+	f.tooLarge(t)
+}
+
+// tooLarge sends a prompt that all targets together cannot hold.
+func (f *splitFleet) tooLarge(t *testing.T) {
+	r := splitRequest("too-large")
+	r.PromptTokens = 5 * splitKV
+	begin := time.Now()
+	result := <-f.send(r)
+	assert.Equal(t, result.Status, http.StatusRequestEntityTooLarge, result.Error)
+	assert.Equal(t, result.Outcome, apierror.NotRun)
+	assert.Assert(t, strings.Contains(result.Error, "send a shorter prompt"), result.Error)
+	assert.Assert(t, time.Since(begin) < time.Second)
+}
+
+// Guards against default limits that keep a prompt of a million tokens out.
+func TestMillionTokensPassDefaultLimits(t *testing.T) {
+	t.Parallel()
+	f := startSplit(t, 4, func(o *lab.Options) {
+		o.Engine.KVTokens, o.Engine.ColdTokens, o.Engine.PrefillTokensPerSecond = 400_000, 400_000, 1_000_000
+	})
+	r := splitRequest("million")
+	r.PromptTokens = 1_000_000
+	assertWhole(t, <-f.send(r))
+	f.nothingHeld(t)
+}
+
+// Guards against memory or reservations that stay, an answer with a gap, or a
+// request that ends without need, when a member dies or freezes at any step,
+// or the VM is shut down gracefully.
+func TestSplitSurvives(t *testing.T) {
+	for step := 1; step <= answerStep; step++ {
+		for member := 1; member <= min(step, splitParts); member++ {
+			t.Run(fmt.Sprintf("step %d, engine %d dies", step, member), func(t *testing.T) {
+				t.Parallel()
+				f := startSplit(t, 5, nil)
+				result := f.send(splitRequest("dies"))
+				f.awaitStep(t, step)[member-1].Crash()
+				assertWhole(t, <-result)
+				f.nothingHeld(t)
+			})
+		}
+		t.Run(fmt.Sprintf("step %d, the running engine freezes", step), func(t *testing.T) {
+			t.Parallel()
+			f := startSplit(t, 5, nil)
+			result := f.send(splitRequest("freezes"))
+			f.awaitStep(t, step)[min(step, splitParts)-1].Freeze(6 * time.Second)
+			assertWhole(t, <-result)
+			f.nothingHeld(t)
+		})
+		t.Run(fmt.Sprintf("step %d, VM drains", step), func(t *testing.T) {
+			t.Parallel()
+			f := startSplit(t, 5, nil)
+			result := f.send(splitRequest("drains"))
+			f.awaitStep(t, step)
+			assert.NilError(t, f.Entries[0].Stop(t.Context()))
+			assertWhole(t, <-result)
+			f.nothingHeld(t)
+		})
+	}
+}
+
+// Guards against memory or reservations that stay after the caller went away
+// or the deadline passed, and against a false "not run".
+func TestSplitEndsAtEachStep(t *testing.T) {
+	for step := 1; step <= answerStep; step++ {
+		t.Run(fmt.Sprintf("step %d, caller gone", step), func(t *testing.T) {
+			t.Parallel()
+			f := startSplit(t, 5, nil)
+			ctx, cancel := context.WithCancel(t.Context())
+			go f.client.Do(ctx, splitRequest("gone"))
+			f.awaitStep(t, step)
+			cancel()
+			time.Sleep(50 * time.Millisecond)
+			f.nothingHeld(t)
+		})
+		t.Run(fmt.Sprintf("step %d, deadline", step), func(t *testing.T) {
+			t.Parallel()
+			f := startSplit(t, 5, func(o *lab.Options) {
+				o.Engine.PrefillTokensPerSecond, o.Engine.DecodeTokensPerSecond = 2000, 40
+				o.ConfigChange = func(c *config.Config) { // slower than declared
+					for name, target := range c.Targets {
+						target.PrefillTokensPerSecond, target.DecodeTokensPerSecond = 100_000, 10_000
+						c.Targets[name] = target
+					}
+				}
+			})
+			r := splitRequest("late")
+			// Each prefill takes 1.33 s and the output 2 s.
+			r.Timeout = time.Duration(step)*1340*time.Millisecond - 600*time.Millisecond
+			result := <-f.send(r)
+			assert.Assert(t, !result.Whole && !result.Wrong)
+			assert.Equal(t, result.Outcome, apierror.Failed, "%d parts were started: %s", len(f.members()), result.Error)
+			assert.Assert(t, strings.Contains(result.Error, string(apierror.KindDeadlineExceeded)), result.Error)
+			assert.Assert(t, result.Total < r.Timeout+time.Second, "%s", result.Total)
+			f.nothingHeld(t)
+		})
+	}
+}
+
+// Guards against two split prompts that wait for each other's engines: either
+// takes three of the four, and no engine holds a part of both.
+func TestSplitsThatCompete(t *testing.T) {
+	t.Parallel()
+	f := startSplit(t, 4, nil)
+	var both sync.WaitGroup
+	for i, address := range f.CallerAddresses() {
+		both.Go(func() {
+			r := f.client.DoAt(t.Context(), address, splitRequest(fmt.Sprintf("compete-%d", i)))
+			if !r.Whole || r.Wrong {
+				t.Errorf("not whole: %s", r.Error)
+			}
+		})
+	}
+	both.Wait()
+	f.nothingHeld(t)
+}
+
+// Guards against exports that go away before a caller resumes the last part
+// through another VM.
+func TestSplitIsResumedThroughAnotherVM(t *testing.T) {
+	t.Parallel()
+	f := startSplit(t, 5, nil)
+	r := splitRequest("resumed")
+	r.Resumable, r.GiveUpAfter, r.MaxTokens = true, 20, 600
+	broken := <-f.send(r)
+	assert.Equal(t, broken.Events, 20)
+	broken.Request.GiveUpAfter = 0
+	assertWhole(t, f.client.Resume(t.Context(), f.CallerAddresses()[1], broken))
+	f.nothingHeld(t)
+}
+
+// Guards against short requests that wait for the whole event timeout of an
+// engine that froze while it prefilled.
+func TestFrozenEngineIsGivenUpEarly(t *testing.T) {
+	t.Parallel()
+	f := startSplit(t, 3, nil)
+	result := f.send(loadgen.Request{ID: "short", Model: lab.Model, PromptTokens: 2000, MaxTokens: 10, Timeout: 20 * time.Second})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.members()) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not started")
+	}, poll.WithDelay(2*time.Millisecond))
+	f.members()[0].Freeze(10 * time.Second)
+	r := <-result
+	assertWhole(t, r)
+	assert.Assert(t, r.FirstToken < 3*time.Second, "%s", r.FirstToken)
+	assert.Equal(t, len(f.members()), 2, "the engine was frozen too late")
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -69,6 +69,7 @@
 		{"overhead", overhead},
 		{"short_slowdown", shortSlowdown},
 		{"long_prompt", longPrompt},
+		{"split_prompt", splitPrompt},
 		{"zone_leave", zoneLeave},
 		{"cold_bound", coldBound},
 		{"overload", overload},
