Describe split prompts; test the refusals and the restart of the last part

A prompt whose sequential prefills pass the deadline is refused with not_run at once, and nothing is started. When the engine of the last part dies, the engines see two exports in all, so the parts before it are not prefilled again.

--- a/internal/admission/split.go
+++ b/internal/admission/split.go
@@ -19,9 +19,10 @@
 
 const (
 	// maxSplits bounds the split prompts in progress on one VM. Each holds most
-	// of the memory of several engines for tens of seconds, so that two of them
-	// on each of six VMs could take a whole fleet of 15 engines. One at a time
-	// costs a caller little: their prefills would mostly wait for each other.
+	// of the memory of several engines for tens of seconds. With two on each of
+	// six VMs, prompts of a million tokens would ask for twice the memory of 15
+	// engines of 400,000. What all VMs together take is bounded by the planner,
+	// which prefers one half of the targets.
 	maxSplits = 1
 	// maxSplitsWaiting bounds those that wait for their turn; each holds a body
 	// of megabytes.
--- a/internal/gateway/split_test.go
+++ b/internal/gateway/split_test.go
@@ -162,21 +162,39 @@
 	f := startSplit(t, 5, nil)
 	assertWhole(t, <-f.send(splitRequest("whole")))
 	f.nothingHeld(t)
-	exported, deleted := 0, 0
+	assert.Equal(t, f.count("export"), splitParts-1)
+	assert.Equal(t, f.count("delete-export"), splitParts-1)
+	for _, e := range f.Engines {
+		assert.Equal(t, e.Record().Summary().Overloads, 0)
+	}
+	f.tooLarge(t)
+	f.tooLate(t)
+}
+
+// count returns how often the engines saw an event.
+func (f *splitFleet) count(event string) int {
+	n := 0
 	for _, e := range f.Engines {
 		for _, entry := range e.Record().Entries() {
-			switch entry.Event {
-			case "export":
-				exported++
-			case "delete-export":
-				deleted++
+			if entry.Event == event && entry.At.After(f.begin) {
+				n++
 			}
 		}
-		assert.Equal(t, e.Record().Summary().Overloads, 0)
 	}
-	assert.Equal(t, exported, splitParts-1)
-	assert.Equal(t, deleted, splitParts-1)
-	f.tooLarge(t)
+	return n
+}
+
+// tooLate sends a prompt whose parts, one after the other, take longer than its
+// deadline allows, although each part alone would not.
+func (f *splitFleet) tooLate(t *testing.T) {
+	r := splitRequest("too-late")
+	r.Timeout = 700 * time.Millisecond
+	begin, starts := time.Now(), len(f.members())
+	result := <-f.send(r)
+	assert.Equal(t, result.Status, http.StatusServiceUnavailable, result.Error)
+	assert.Equal(t, result.Outcome, apierror.NotRun)
+	assert.Assert(t, time.Since(begin) < r.Timeout/2)
+	assert.Equal(t, len(f.members()), starts)
 }
 
 // tooLarge sends a prompt that all targets together cannot hold.
@@ -216,6 +234,9 @@
 				f.awaitStep(t, step)[member-1].Crash()
 				assertWhole(t, <-result)
 				f.nothingHeld(t)
+				if step >= splitParts && member == splitParts {
+					assert.Equal(t, f.count("export"), splitParts-1, "the last part alone is sent again")
+				}
 			})
 		}
 		t.Run(fmt.Sprintf("step %d, the running engine freezes", step), func(t *testing.T) {
