--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,8 +40,17 @@
 	// Exclude names targets that failed this request before. A request with
 	// such names is a retry and is not charged to the account again.
 	Exclude []string
+	// Retry marks a retry for which no target is to be left out.
+	Retry bool
+	// Whole forbids to split the work over several targets.
+	Whole bool
+
+	// endSplit gives back the turn of a request that is split.
+	endSplit func()
 }
 
+func (w *Work) isRetry() bool { return w.Retry || len(w.Exclude) > 0 }
+
 func (w *Work) tokens() int { return w.PromptTokens + w.OutputTokens }
 
 func (w *Work) bytes() int64 {
@@ -61,6 +70,11 @@
 	Declared config.Target
 	Client   engine.Client
 	Reason   string
+	// Earlier holds the grants of the parts before this one when the prompt is
+	// larger than one target; each needs its own Named and Done. From and To
+	// are then the range of the prompt, in tokens, that this grant is for.
+	Earlier  []*Grant
+	From, To int
 	// Priority orders the attempt within the engine; a lower one goes first.
 	Priority int
 	// Broken is closed when the target was given up after failed polls, or
@@ -88,9 +102,11 @@
 
 // Options are what a Controller is wired to.
 type Options struct {
-	Config    *config.Holder
-	Clients   func(address string) engine.Client
-	Capacity  capacity.Capacity
+	Config   *config.Holder
+	Clients  func(address string) engine.Client
+	Capacity capacity.Capacity
+	// Groups reserves for prompts larger than one target; nil refuses them.
+	Groups    GroupReserver
 	Collector *load.Collector
 	// Verdict is the isolation verdict of this VM.
 	Verdict func() membership.Verdict
@@ -112,6 +128,7 @@
 	loans    *loans
 	metrics  *metrics.Set
 	waits    *metrics.Histogram
+	splits   *splits
 
 	mu     sync.Mutex
 	queues map[string]*queue // by service
@@ -135,6 +152,7 @@
 		accounts: newAccountLimits(o.Seats),
 		wake:     make(chan struct{}, 1),
 		queues:   map[string]*queue{},
+		splits:   newSplits(),
 	}
 	c.loans = newLoans(o.Capacity, c.kick)
 	if o.Metrics == nil {
@@ -196,7 +214,7 @@
 // asRetry corrects the outcome of a refused retry: an earlier attempt may have
 // run, so that "not run" would be untrue.
 func asRetry(w *Work, refusal *apierror.Error) *apierror.Error {
-	if len(w.Exclude) == 0 {
+	if !w.isRetry() {
 		return refusal
 	}
 	corrected := *refusal
@@ -218,7 +236,12 @@
 	if err != nil {
 		return nil, err
 	}
-	grant, err := c.placeOrWait(ctx, w, cfg, contract, arrived)
+	var grant *Grant
+	if c.needsSplit(w) {
+		grant, err = c.admitSplit(ctx, w, arrived)
+	} else {
+		grant, err = c.placeOrWait(ctx, w, cfg, contract, arrived)
+	}
 	if err != nil {
 		c.accounts.refund(w, charged)
 		return nil, err
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -160,7 +160,7 @@
 		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Zone: s.VM.Zone, Log: p.log,
 	})
 	p.admission = admission.NewController(admission.Options{
-		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Collector: p.collector,
+		Config: p.config, Clients: p.clients.get, Capacity: p.ledger, Groups: p.ledger, Collector: p.collector,
 		Verdict: p.members.Verdict, Seats: p.seatCounts, Policy: policy, Log: p.log,
 		Metrics: p.metrics,
 	})
@@ -324,6 +324,9 @@
 	return room.Tokens*cfg.SharesPerTarget > t.KVTokens/2 && room.Slots*cfg.SharesPerTarget > t.MaxRunning/2
 }
 
+// Room returns what this VM may still start on an engine.
+func (p *Process) Room(target string) capacity.Room { return p.ledger.Room(target) }
+
 // mayStart returns an error while this VM may not start new work.
 func (p *Process) mayStart() error {
 	_, err := identity{p}.AttemptPrefix()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/oriolefront/oriolefront/internal/admission"
 	"github.com/oriolefront/oriolefront/internal/apierror"
 	"github.com/oriolefront/oriolefront/internal/auth"
+	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/resume"
@@ -92,8 +93,8 @@
 type Gateway struct {
 	Options
 	counter  atomic.Uint64
-	held     *byteBudget
-	budget   *retryBudget
+	held     *budget.Bytes
+	budget   *budget.Retry
 	ratio    *tokenRatio
 	draining atomic.Bool
 	active   sync.WaitGroup
@@ -101,6 +102,10 @@
 	keys     atomic.Pointer[accountKeys]
 }
 
+// retryOptions allow one retry for ten requests, so that a failing fleet is
+// not loaded with repeated work, and a few retries on a VM with little traffic.
+var retryOptions = budget.RetryOptions{Ratio: 0.1, PerSecond: 3, Max: 100}
+
 // accountKeys is the key index of the accounts of one or more versions.
 type accountKeys struct {
 	accounts map[string]config.Account
@@ -111,8 +116,8 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		Options: o,
-		held:    newByteBudget(o.Limits.HeldBytes),
-		budget:  newRetryBudget(),
+		held:    budget.NewBytes(o.Limits.HeldBytes),
+		budget:  budget.NewRetry(retryOptions),
 		ratio:   newTokenRatio(),
 	}
 }
