--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -45,11 +45,24 @@
 	TargetLines string
 	// ExtraDeclarations are added to the declarations.
 	ExtraDeclarations string
+	// EngineProxies puts a fault-injecting proxy between the entry processes
+	// and each engine.
+	EngineProxies bool
 }
 
 // Engine is an engine stand-in as seen from outside.
 type Engine struct {
 	Name, Zone, Address string
+	// Proxy is between the entry processes and the engine, or nil.
+	Proxy *faultproxy.Proxy
+}
+
+// declared is the address that the configuration gives to entry processes.
+func (e Engine) declared() string {
+	if e.Proxy != nil {
+		return e.Proxy.Address()
+	}
+	return e.Address
 }
 
 // Plain is a stand-in of a plain service.
@@ -159,6 +172,9 @@
 	world := fmt.Sprintf("[table]\nlisten = %q\n[objects]\nlisten = %q\n[vms]\nlisten = %q\n", f.Table, f.Objects, f.VMs)
 	for i := range o.Engines {
 		e := Engine{Name: fmt.Sprintf("e%d", i), Zone: zones[i%len(zones)], Address: FreeAddress(f.t)}
+		if o.EngineProxies {
+			e.Proxy = f.proxy(e.Address)
+		}
 		f.Engines = append(f.Engines, e)
 		world += fmt.Sprintf(`
 [[engine]]
@@ -228,7 +244,7 @@
 max-running = 32
 cold-running = 2
 %s
-`, e.Name, e.Zone, e.Address, o.TargetLines)
+`, e.Name, e.Zone, e.declared(), o.TargetLines)
 	}
 	for i, p := range f.Plains {
 		text += fmt.Sprintf("\n[target.%s]\nservice = \"lending\"\nzone = %q\naddress = %q\nmax-running = 32\n", p.Name, zones[i%len(zones)], p.Address)
--- /dev/null
+++ b/test/matrix/page_test.go
@@ -0,0 +1,3 @@
+package matrix
+
+func page(t *table) string { return t.text() }
