Fill the engines before a request has to queue, and log failed requests

The step 'queued' sent its fillers without waiting for their starts, so that an engine could have room; in 4 of 30 cells the request was sent at once. The step now requires each engine's list of attempts to hold a filler and tries again otherwise. A failed cell lists the requests that were not answered.

--- a/test/matrix/matrix_test.go
+++ b/test/matrix/matrix_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -174,6 +175,9 @@
 		r.stop()
 		<-pulses
 		r.pending.Wait()
+		if r.t.Failed() {
+			r.logFailures()
+		}
 	}()
 	r.cell.step.run(r)
 	<-r.healed
@@ -189,8 +193,24 @@
 	for _, p := range r.problems {
 		r.t.Error(p)
 	}
-	if r.t.Failed() && os.Getenv("FLEET_LOGS") != "" {
-		for i, e := range r.w.f.Entries {
+}
+
+// logFailures lists what was not answered, and the logs of the VMs if
+// FLEET_LOGS is set.
+func (r *run) logFailures() {
+	for _, s := range r.streams {
+		if !s.Whole {
+			r.t.Logf("%s at VM %d, sent after %s: status %d, outcome %q, %d events, %s, %s", s.Request.ID, s.vm,
+				s.Sent.Sub(r.began), s.Status, s.Outcome, s.Events, s.ended.Sub(s.Sent), s.Error)
+		}
+	}
+	for _, c := range r.calls {
+		if c.status != http.StatusOK {
+			r.t.Logf("%s at VM %d, sent after %s: status %d, outcome %q, %s", c.id, c.vm, c.sent.Sub(r.began), c.status, c.outcome, c.text)
+		}
+	}
+	for i, e := range r.w.f.Entries {
+		if os.Getenv("FLEET_LOGS") != "" {
 			r.t.Logf("VM %d: %s", i, e.Log())
 		}
 	}
--- a/test/matrix/steps_test.go
+++ b/test/matrix/steps_test.go
@@ -29,7 +29,7 @@
 
 var stepTable = []step{
 	{"before_arrival", streamFamily, "the request arrives right after the fault", stepBeforeArrival},
-	{"queued", streamFamily, "the request waits because three prompts of 300,000 tokens fill the engines", stepQueued},
+	{"queued", streamFamily, "the request waits because three prompts of 340,000 tokens fill the engines", stepQueued},
 	{"sent", streamFamily, "the engine's record shows the start of a prompt of 100,000 tokens; its prefill takes 0.5 s", stepSent},
 	{"middle", streamFamily, "40 of 300 events have arrived", stepMiddle},
 	{"end", streamFamily, "95 of 100 events have arrived", stepEnd},
@@ -65,10 +65,10 @@
 // begin sends a streamed request and returns a channel that closes at its end.
 func (r *run) begin(vm int, q loadgen.Request, mustDone bool) <-chan struct{} {
 	done := make(chan struct{})
-	go func() {
+	r.pending.Go(func() {
 		defer close(done)
 		r.stream(vm, q, mustDone)
-	}()
+	})
 	return done
 }
 
@@ -77,23 +77,70 @@
 	<-r.begin(r.vm, r.request("op", 1000, 60), r.mustDo())
 }
 
+// Prompts that leave no engine room for a further long one. Prefill and output
+// take 2.7 s, in which the step has to be reached.
+const (
+	fillerPrompt = 340_000
+	fillerTokens = 200
+	queuedPrompt = 200_000
+	// decisionTime is enough for a VM to send a request that need not wait.
+	decisionTime = 150 * time.Millisecond
+	queueTries   = 4
+)
+
 func stepQueued(r *run) {
-	for vm := range vmCount {
-		q := r.request("filler", 300_000, 4)
-		r.pending.Go(func() { r.stream(vm, q, false) })
-		if vm == 0 {
-			r.await("a filler runs", func() bool { _, ok := r.startedAt(hash(q)); return ok })
+	for range queueTries {
+		if done := r.queueOne(); done != nil {
+			r.strike()
+			<-done
+			return
 		}
 	}
-	time.Sleep(200 * time.Millisecond)
-	q := r.request("op", 200_000, 4)
-	done := r.begin(r.vm, q, r.mustDo())
-	time.Sleep(150 * time.Millisecond)
-	if at, ok := r.startedAt(hash(q)); ok {
-		r.t.Logf("the request was not queued but sent to engine %d", at)
+	r.t.Fatalf("step not reached in %d tries: a request is queued", queueTries)
+}
+
+// queueOne fills the engines and sends a request that has to wait. It returns
+// nil if an engine had room, which may be while an engine warms up.
+func (r *run) queueOne() <-chan struct{} {
+	var fillers []<-chan struct{}
+	for i := range engineCount {
+		q := r.request("filler", fillerPrompt, fillerTokens)
+		fillers = append(fillers, r.begin((r.vm+i)%vmCount, q, false))
+		r.await("a filler runs", func() bool { _, ok := r.startedAt(hash(q)); return ok })
 	}
-	r.strike()
-	<-done
+	q := r.request("op", queuedPrompt, 4)
+	if r.filled() {
+		done := r.begin(r.vm, q, r.mustDo())
+		time.Sleep(decisionTime)
+		if _, started := r.startedAt(hash(q)); !started {
+			return done
+		}
+		<-done
+	}
+	waitAll(fillers)
+	return nil
+}
+
+func waitAll(all []<-chan struct{}) {
+	for _, done := range all {
+		<-done
+	}
+}
+
+// filled says whether each engine holds a filler.
+func (r *run) filled() bool {
+	for i := range engineCount {
+		inventory, err := r.w.inventory(i)
+		r.must(err)
+		held := 0
+		for _, a := range inventory.Attempts {
+			held += a.KVTokens
+		}
+		if held < fillerPrompt {
+			return false
+		}
+	}
+	return true
 }
 
 // strikeAtStart strikes once an engine's record shows the start of q.
--- a/test/matrix/table_test.go
+++ b/test/matrix/table_test.go
@@ -29,7 +29,9 @@
 func (t *table) add(c cell, r *run, took time.Duration, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.verdicts[c.name()] = verdict{failed: failed, took: took, streams: len(r.streams), calls: len(r.calls), patches: len(r.patches)}
+	v := verdict{failed: failed, took: took, streams: len(r.streams), calls: len(r.calls), patches: len(r.patches)}
+	t.verdicts[c.name()] = v
+	fmt.Println(v.line(c.name()))
 }
 
 func (t *table) finish(test *testing.T) {
@@ -44,6 +46,10 @@
 	}
 }
 
+func (v verdict) line(name string) string {
+	return fmt.Sprintf("%-44s %-4s %5.1f s  %3d streams %3d calls %2d patches", name, v.word(), v.took.Seconds(), v.streams, v.calls, v.patches)
+}
+
 func (v verdict) word() string {
 	if v.failed {
 		return "RED"
@@ -51,22 +57,27 @@
 	return "ok"
 }
 
+func (t *table) red() int {
+	n := 0
+	for _, v := range t.verdicts {
+		if v.failed {
+			n++
+		}
+	}
+	return n
+}
+
 // text is the table that a run prints.
 func (t *table) text() string {
 	var b strings.Builder
 	names := make([]string, 0, len(t.verdicts))
-	red := 0
-	for name, v := range t.verdicts {
+	for name := range t.verdicts {
 		names = append(names, name)
-		if v.failed {
-			red++
-		}
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		v := t.verdicts[name]
-		fmt.Fprintf(&b, "%-44s %-4s %5.1f s  %3d streams %3d calls %2d patches\n", name, v.word(), v.took.Seconds(), v.streams, v.calls, v.patches)
+		b.WriteString(t.verdicts[name].line(name) + "\n")
 	}
-	fmt.Fprintf(&b, "%d cells, %d red, in %.0f s\n", len(names), red, time.Since(t.began).Seconds())
+	fmt.Fprintf(&b, "%d cells, %d red, in %.0f s\n", len(names), t.red(), time.Since(t.began).Seconds())
 	return b.String()
 }
