Wait after each matrix cell until every VM runs a call with a claim

After a store fault a VM's circuit breaker can stay open for up to a second, so the next cell in the same fleet began with a refused call and did not reach its step. Each cell now requires the calls to work again within 10 s and checks it. A cell that fails before its fault no longer waits for the fault's end. A page can be completed with the verdicts of earlier runs.

--- a/test/matrix/matrix_test.go
+++ b/test/matrix/matrix_test.go
@@ -16,6 +16,7 @@
 	allCells  = flag.Bool("all", false, "run all cells instead of the short selection")
 	pairCount = flag.Int("pairs", 4, "number of pairs of faults to draw")
 	pairSeed  = flag.Uint64("seed", 1, "seed from which the pairs are drawn")
+	earlier   = flag.String("earlier", "", "`file` with what earlier runs printed, whose verdicts the page shows for the cells that this run leaves out")
 	writeDocs = flag.String("write-docs", "", "write the page of the fault matrix to this `file` after the run")
 )
 
@@ -132,6 +133,9 @@
 		pool <- nil // a fleet starts when a cell needs it
 	}
 	results := &table{began: time.Now(), verdicts: map[string]verdict{}}
+	if err := results.readEarlier(*earlier); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() { results.finish(t) })
 	var starting sync.Mutex
 	execute := func(t *testing.T, parent *testing.T, c cell) {
@@ -184,11 +188,7 @@
 	r.stop()
 	<-pulses
 	r.pending.Wait()
-	for vm := range vmCount {
-		if err := r.w.ready(vm, readyWithin); err != nil {
-			r.problem("R1", "after the cell: %v", err)
-		}
-	}
+	r.recover()
 	r.check()
 	for _, p := range r.problems {
 		r.t.Error(p)
@@ -216,6 +216,29 @@
 	}
 }
 
+// servesWithin bounds the time after the end of a fault until each VM serves
+// calls that need the store again.
+const servesWithin = 10 * time.Second
+
+// recover waits until all VMs are ready and run non-idempotent calls.
+func (r *run) recover() {
+	for vm := range vmCount {
+		if err := r.w.ready(vm, readyWithin); err != nil {
+			r.problem("R1", "after the cell: %v", err)
+		}
+		for end := time.Now().Add(servesWithin); ; time.Sleep(5 * pollInterval) {
+			c := r.call(vm, http.MethodPost, r.nextID("key"), pulseTimeout, false)
+			if c.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(end) {
+				r.problem("R1", "VM %d ran no call %s after the cell: %s", vm, servesWithin, c.text)
+				break
+			}
+		}
+	}
+}
+
 func (r *run) stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/matrix/page_test.go
+++ b/test/matrix/page_test.go
@@ -4,20 +4,19 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 )
 
 const pageIntro = `# Fault matrix
 
-This page is written by a run; do not edit it. It shows what that run measured:
-%d cells, %d red, in %.0f s.
+This page is written by a run; do not edit it. It shows the latest verdict of each
+cell in that run and in the earlier output given to it: %d cells, %d red.
 
     go test ./test/matrix/...                                   # short selection and 4 pairs, at most 100 s
     go test -v ./test/matrix/...                                # prints the table of verdicts
     go test -v -run 'TestMatrix/process_kill/middle' ./test/matrix/...   # one cell
     go test -v -timeout 20m ./test/matrix/... -args -all        # all cells
     go test -v ./test/matrix/... -args -seed=7 -pairs=12        # other pairs of faults
-    go test -v -timeout 20m ./test/matrix/... -args -all -write-docs=$PWD/docs/FAULTS.md
+    go test -v -timeout 20m ./test/matrix/... -args -all -write-docs=$PWD/docs/FAULTS.md   # add -earlier=FILE for cells run before
 
 Each cell starts from a fleet of %d entry processes, %d engines and %d plain
 services as processes of their own, sends light work through all VMs, brings an
@@ -29,7 +28,7 @@
 
 | promise | check |
 |---|---|
-| R1 | every request and call ended at most %s after its deadline, or after its frozen VM woke up; the operation of the step succeeded unless the table of excuses names a reason; all VMs are ready at most %s after the cell |
+| R1 | every request and call ended at most %s after its deadline, or after its frozen VM woke up; the operation of the step succeeded unless the table of excuses names a reason; all VMs are ready at most %s after the cell and run calls that need the store %s later |
 | R2 | engines hold no attempt and no export at most %s after the cell |
 | R3 | no engine fell over by too much work, and no engine ran more than %d requests while cold |
 | R4, R8 | steps ` + "`zone_out` and `target_leaves`" + `: no start in the engine's record from %s after the patch was accepted until it was taken back |
@@ -65,8 +64,8 @@
 
 func page(t *table) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, pageIntro, len(t.verdicts), t.red(), time.Since(t.began).Seconds(),
-		vmCount, engineCount, plainCount, fleets, grace, readyWithin, emptyWithin, coldRunning, inForceWithin, inForceWithin)
+	fmt.Fprintf(&b, pageIntro, len(t.verdicts), t.red(),
+		vmCount, engineCount, plainCount, fleets, grace, readyWithin, servesWithin, emptyWithin, coldRunning, inForceWithin, inForceWithin)
 	for _, f := range faults {
 		fmt.Fprintf(&b, "| `%s` | %s |\n", f.name, f.text)
 	}
--- a/test/matrix/steps_test.go
+++ b/test/matrix/steps_test.go
@@ -184,8 +184,11 @@
 	}()
 	strike(key, done)
 	<-done
-	<-r.healed
-	r.repeat(r.other(), first)
+	select {
+	case <-r.healed:
+		r.repeat(r.other(), first)
+	case <-r.stopped: // the cell failed before the fault struck
+	}
 }
 
 func stepBeforeClaim(r *run) {
--- a/test/matrix/table_test.go
+++ b/test/matrix/table_test.go
@@ -34,6 +34,26 @@
 	fmt.Println(v.line(c.name()))
 }
 
+// readEarlier adds the verdicts that earlier runs printed, so that a page can be
+// made of runs of parts. This run's verdicts replace them.
+func (t *table) readEarlier(file string) error {
+	if file == "" {
+		return nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(data)) {
+		var name, word string
+		var seconds float64
+		if n, _ := fmt.Sscanf(line, "%s %s %f s", &name, &word, &seconds); n == 3 && (word == "ok" || word == "RED") {
+			t.verdicts[name] = verdict{failed: word == "RED", took: time.Duration(seconds * float64(time.Second))}
+		}
+	}
+	return nil
+}
+
 func (t *table) finish(test *testing.T) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
