Be ready only once the declared targets are followed

A VM said it was ready when it had its configuration and a seat, up to 100 ms before its collector took up the configuration's targets. Requests in that time were refused with 'no target of service "lm" offers model "catalogue"'.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -279,11 +280,18 @@
 // identity is this VM as the gateway names it in attempts.
 type identity struct{ p *Process }
 
+// errNoTargetsYet keeps a starting VM from being ready between the arrival of
+// its configuration and the first snapshot of the targets.
+var errNoTargetsYet = errors.New("the declared targets are not followed yet; try again, or another VM")
+
 // AttemptPrefix implements gateway.Identity.
 func (i identity) AttemptPrefix() (string, error) {
 	if err := i.p.syncer.Ready(); err != nil {
 		return "", err
 	}
+	if !i.p.collector.Follows() {
+		return "", errNoTargetsYet
+	}
 	return i.p.seats.AttemptPrefix()
 }
 
--- a/internal/load/collector.go
+++ b/internal/load/collector.go
@@ -77,6 +77,7 @@
 	snapshot atomic.Pointer[scheduler.Snapshot]
 	wake     chan struct{}
 	polls    chan struct{} // semaphore
+	follows  atomic.Bool   // the snapshot has the targets of a declared configuration
 
 	mu      sync.RWMutex
 	byName  map[string]*followed
@@ -111,6 +112,11 @@
 // Snapshot returns the latest snapshot.
 func (c *Collector) Snapshot() *scheduler.Snapshot { return c.snapshot.Load() }
 
+// Follows reports whether the snapshot has the targets of a declared
+// configuration. Until then a request would be refused because no target is
+// known.
+func (c *Collector) Follows() bool { return c.follows.Load() }
+
 // Prefixes returns the index of prefixes that targets hold.
 func (c *Collector) Prefixes() scheduler.Prefixes { return c.index }
 
@@ -209,6 +215,9 @@
 	}
 	c.version++
 	c.snapshot.Store(&scheduler.Snapshot{Version: c.version, Targets: targets, Layout: c.layout})
+	if c.config != nil && c.config.Version > 0 {
+		c.follows.Store(true)
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return added
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -61,3 +61,18 @@
 	out := f.Ctl(1, "status")
 	assert.Assert(t, strings.Contains(out, "connected"), out)
 }
+
+// Guards against an entry process that says it is ready before it follows the
+// declared targets, and refuses the first requests because it knows none.
+func TestReadyMeansServing(t *testing.T) {
+	f := fleet.Start(t, fleet.Options{Engines: 3, Entries: 3})
+	e := f.Entries[0]
+	client := loadgen.NewClient([]string{e.Callers}, fleet.AccountKey)
+	for i := range 10 {
+		e.Kill()
+		e.Start()
+		e.AwaitReady(30 * time.Second)
+		r := client.Do(t.Context(), loadgen.Request{ID: fmt.Sprintf("first-%d", i), Model: "catalogue", PromptTokens: 1000, MaxTokens: 5})
+		assert.Assert(t, r.Whole && !r.Wrong, "restart %d: %+v", i, r)
+	}
+}
