Count requests from the warm time against the cold bound after a relapse

Cause: the cell engine_cold/middle of the fault matrix saw 3 requests on a cold engine with a bound of 2. A seat without a cold share still had an answer in progress from the warm time, and the seats with a cold share added theirs. Ruled out: disagreeing stages and late heartbeats; all VMs knew of the relapse. Change: after a relapse a VM grants nothing until a list of attempts taken 2 s later shows what still runs, and what other seats run beyond their shares reduces the bound. TestRelapseCountsWarmRequests fails without the rule (3 running, 1 expected). TestColdBoundWhenStagesDiffer allows for the 2 s and lets every VM use its own share before it borrows, because a loan that crosses a time-out would hide a slot; its bounds are unchanged. Cost: a relapsed engine gets no new work for about 2 s.

--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -102,6 +102,11 @@
 	asked  map[string]struct{}
 	fences map[int]uint64 // lowest epoch of each seat from which loans are accepted
 
+	// running is what each seat's attempts held by the list of attempts taken
+	// at runningAt.
+	running   map[int]Room
+	runningAt time.Time
+
 	attempts map[string]*lease
 	// released holds attempts that ended a short time ago, because a list of
 	// attempts taken before may still show them.
@@ -152,7 +157,7 @@
 	if fresh {
 		doublings = b.warmth.stage.Doublings
 	}
-	share := b.limits.share(k.position, doublings)
+	share := b.relapseShare(k, doublings)
 	if b.previous == nil || !now.Before(b.previousUntil) {
 		return share
 	}
--- a/internal/capacity/inventory.go
+++ b/internal/capacity/inventory.go
@@ -61,6 +61,7 @@
 	confirmed, own := l.confirmedOwners()
 	all := holdings(inv)
 	b.mu.Lock()
+	b.noteRunning(all, taken)
 	all = b.uncounted(all, taken)
 	var unknown []int
 	for _, k := range b.buckets {
@@ -211,7 +212,7 @@
 	follows := false
 	for _, k := range b.buckets {
 		follows = follows || k.active
-		f.Urgent = f.Urgent || (k.active && !(k.listed && k.clean))
+		f.Urgent = f.Urgent || (k.active && (!(k.listed && k.clean) || b.awaitsList(k)))
 	}
 	return f, follows && !b.limits.plain
 }
--- a/internal/capacity/ledger_test.go
+++ b/internal/capacity/ledger_test.go
@@ -96,6 +96,8 @@
 		for i := range 9 {
 			for c.at(i).run("e1", 1) != nil {
 			}
+		}
+		for i := range 9 {
 			for c.borrow(i, "e1", Room{1, 1}) == nil && c.at(i).run("e1", 1) != nil {
 			}
 		}
@@ -127,7 +129,10 @@
 		c.at(i).ledger.Observe("e1", Observation{At: c.now(), StartNumber: 1, Cold: true})
 	}
 	assert.Assert(t, fill(c) <= 2, "warm loan after a relapse")
-	c.round(loanCheckInterval)
+	// Shares open evidenceAge and lateSend after the relapse, with a list.
+	for range 3 {
+		c.round(loanCheckInterval)
+	}
 	assert.Equal(t, fill(c), 2, "the loan is back after a relapse")
 }
 
@@ -372,3 +377,32 @@
 		r.Release()
 	}
 }
+
+// Guards against cold shares that are added to requests from the warm time:
+// together they made an engine with a cold bound of two run three.
+func TestRelapseCountsWarmRequests(t *testing.T) {
+	targets := map[string]config.Target{"e1": {KVTokens: 90_000, MaxRunning: 30, ColdRunning: 2, ColdTokens: 9_000}}
+	c := ready(targets, 3)
+	c.warm()
+	last := seatOrder("e1", 3, 3)[2] // has no cold slot
+	left := c.at(last).run("e1", 100)
+	assert.Assert(t, left != nil)
+	for i := range 3 {
+		c.at(i).ledger.Observe("e1", Observation{At: c.now(), StartNumber: 1, Cold: true})
+	}
+	fill := func() int {
+		for i := range 3 {
+			for c.at(i).run("e1", 1) != nil {
+			}
+		}
+		return c.used("e1").Slots
+	}
+	assert.Equal(t, fill(), 1, "nothing is granted before a list of attempts")
+	for range 6 {
+		c.round(500 * time.Millisecond)
+	}
+	assert.Equal(t, fill(), 2, "the request from the warm time uses one of two slots")
+	c.finish("e1", left)
+	c.round(500 * time.Millisecond)
+	assert.Equal(t, fill(), 2, "its slot comes back")
+}
--- a/internal/capacity/shares.go
+++ b/internal/capacity/shares.go
@@ -122,7 +122,11 @@
 
 // share returns the share of a seat after some doublings.
 func (l *limits) share(position, doublings int) Room {
-	b := l.bound(doublings)
+	return l.shareOfRoom(position, l.bound(doublings))
+}
+
+// shareOfRoom returns the share of a seat of an amount.
+func (l *limits) shareOfRoom(position int, b Room) Room {
 	k := len(l.order)
 	return Room{shareOf(b.Tokens, k, position), shareOf(b.Slots, k, position)}
 }
--- a/internal/capacity/stage.go
+++ b/internal/capacity/stage.go
@@ -49,6 +49,8 @@
 	// number and no sign of cold. Answers from before coldSince do not count.
 	evidence  time.Time
 	coldSince time.Time
+	// relapsedAt is when this VM learned of the latest relapse.
+	relapsedAt time.Time
 }
 
 // raise replaces the stage by a higher one.
@@ -59,6 +61,7 @@
 	if !w.stage.sameWarmth(s) {
 		w.evidence = time.Time{}
 		w.coldSince = now
+		w.relapsedAt = now
 	}
 	w.stage = s
 	w.successes = 0
