Start the labs of all measures in one place

Nine copies of the start and the warm-up of a lab stood in the measures, and split_prompt left out the log file of -log because its copy started the lab by itself. Env.startWarm and Lab.EngineAddresses replace the copies.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -277,6 +277,15 @@
 	}
 }
 
+// EngineAddresses returns where engines are reached directly.
+func (l *Lab) EngineAddresses() []string {
+	addresses := make([]string, len(l.Engines))
+	for i, e := range l.Engines {
+		addresses[i] = e.Address
+	}
+	return addresses
+}
+
 // CallerAddresses returns where callers reach the running entry processes.
 func (l *Lab) CallerAddresses() []string {
 	var addresses []string
--- a/internal/measure/latency.go
+++ b/internal/measure/latency.go
@@ -39,20 +39,13 @@
 	o.Entries, o.Engines, o.Plain = 1, 4, 0
 	o.Engine.PrefillTokensPerSecond = 2_000_000
 	o.Engine.ColdFor = 0
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	through := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
-	var engines []string
-	for _, engine := range l.Engines {
-		engines = append(engines, engine.Address)
-	}
-	direct := loadgen.NewClient(engines, lab.AccountKey)
+	direct := loadgen.NewClient(l.EngineAddresses(), lab.AccountKey)
 	kind := shortKind()
 	kind.MaxTokens = 1_000
 	throughSum, directSum := loadgen.NewSummary(), loadgen.NewSummary()
@@ -151,14 +144,11 @@
 
 // runMix runs one load in a fresh lab.
 func runMix(ctx context.Context, e *Env, o lab.Options, load loadgen.Load) (*loadgen.Summary, error) {
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return nil, err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return nil, err
-	}
 	load.Model = lab.Model
 	return loadgen.Run(ctx, loadgen.NewClient(l.CallerAddresses(), lab.AccountKey), load), nil
 }
@@ -171,14 +161,11 @@
 	o.Engine.PrefillTokensPerSecond = 1_000_000
 	o.Engine.KVTokens = 1_200_000
 	o.Engine.ColdFor = 0
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	client := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
 	run := func(name string, mix []loadgen.Kind, rate float64) *loadgen.Summary {
 		return loadgen.Run(ctx, client, loadgen.Load{
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -60,6 +60,19 @@
 	return lab.Start(ctx, o)
 }
 
+// startWarm starts a lab whose engines are used as warm ones.
+func (e *Env) startWarm(ctx context.Context, o lab.Options) (*lab.Lab, error) {
+	l, err := e.start(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.WarmUp(ctx); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
 // duration scales the length of a run.
 func (e *Env) duration(d time.Duration) time.Duration {
 	if e.Short {
--- a/internal/measure/memory.go
+++ b/internal/measure/memory.go
@@ -32,14 +32,11 @@
 	o.Engine.KVTokens = 4_000_000
 	o.Engine.ColdFor = 0
 	o.Engine.DecodeTokensPerSecond = 200
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	short := &samples{kind: kindShort}
 	client := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
 	phase := e.duration(20 * time.Second)
@@ -57,11 +54,7 @@
 	throughHeap := through.heap()
 	through.close()
 
-	var engines []string
-	for _, engine := range l.Engines {
-		engines = append(engines, engine.Address)
-	}
-	direct := openSlowReaders(ctx, engines)
+	direct := openSlowReaders(ctx, l.EngineAddresses())
 	time.Sleep(phase / 2)
 	directHeap := direct.heap()
 	direct.close()
@@ -120,14 +113,11 @@
 func memoryLeak(ctx context.Context, e *Env) error {
 	o := lab.Pilbara()
 	o.Engine.DecodeTokensPerSecond = 100
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	r := rand.New(rand.NewPCG(e.Seed, 7))
 	summary := loadgen.NewSummary()
 	var wait sync.WaitGroup
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -30,14 +30,11 @@
 	// Engines that restart while their zone is out are still cold when it
 	// returns.
 	o.Engine.ColdFor = phase + maxLastNewWork
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	short := &samples{kind: kindShort}
 	begin := time.Now()
 	done := make(chan *loadgen.Summary, 1)
@@ -125,14 +122,11 @@
 // overload sends twice what the fleet can serve.
 func overload(ctx context.Context, e *Env) error {
 	o := lab.Bibliobuz()
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	kinds := []loadgen.Kind{shortKind(), mediumKind()}
 	for i := range kinds {
 		kinds[i].Timeout = 10 * time.Second
@@ -182,14 +176,11 @@
 // storeOutage takes the store away under load.
 func storeOutage(ctx context.Context, e *Env) error {
 	o := lab.Bibliobuz()
-	l, err := e.start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	before, outage, after := e.duration(20*time.Second), e.duration(60*time.Second), e.duration(15*time.Second)
 	short := &samples{kind: kindShort}
 	done := make(chan *loadgen.Summary, 1)
--- a/internal/measure/split.go
+++ b/internal/measure/split.go
@@ -24,14 +24,11 @@
 func splitPrompt(ctx context.Context, e *Env) error {
 	o := lab.Bibliobuz()
 	o.Engine.ColdFor = 0
-	l, err := lab.Start(ctx, o)
+	l, err := e.startWarm(ctx, o)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	if err := l.WarmUp(ctx); err != nil {
-		return err
-	}
 	client := loadgen.NewClient(l.CallerAddresses(), lab.AccountKey)
 	split := loadgen.Kind{Name: kindSplit, MinTokens: 500_000, MaxTokens: 1_000_000, Output: 64, Timeout: splitTimeout}
 	short := shortKind()
