--- /dev/null
+++ b/internal/tcp/free_test.go
@@ -0,0 +1,21 @@
+package tcp
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against two processes under test that are given one port.
+func TestFreeLoopbackGivesEachAddressOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range 500 {
+		address, err := FreeLoopback()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[address], address)
+		seen[address] = true
+		free, err := claim(address)
+		assert.NilError(t, err)
+		assert.Assert(t, !free, "%s was claimed twice", address)
+	}
+}
