Pause in one way under a context

The same wait on a timer or the end of a context stood in confsync, load, claim and the store client, with one copy that treated a time of 0 differently. wait.For replaces them. auth.Equal had no caller and goes: keys are looked up by the hash of the key.

--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
 	"strings"
@@ -49,8 +48,3 @@
 	// nothing about declared keys.
 	return owner, true
 }
-
-// Equal compares two secrets in constant time.
-func Equal(a, b string) bool {
-	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
-}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -18,6 +18,7 @@
 	"github.com/oriolefront/oriolefront/internal/apierror"
 	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 const (
@@ -227,7 +228,7 @@
 			return r, read.Revision, nil
 		}
 		holderGone := time.Now().After(time.UnixMilli(r.DeadlineMS).Add(holderGrace))
-		if r.State == unknown || holderGone || !sleep(ctx, pause/2+rand.N(pause/2)) {
+		if r.State == unknown || holderGone || !wait.For(ctx, pause/2+rand.N(pause/2)) {
 			return r, 0, errMayHaveRun
 		}
 		if again, err := c.reader.get(ctx, key); err == nil {
@@ -291,7 +292,7 @@
 func (c *Claims) Flush(ctx context.Context) error {
 	const interval = 10 * time.Millisecond
 	for c.unwritten() {
-		if !sleep(ctx, interval) {
+		if !wait.For(ctx, interval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // fate is what became of one write of a transaction.
@@ -85,7 +86,7 @@
 			// Claims that are sent again must not occupy a failing store.
 			pause = max(pause, rand.N(againPauseMax))
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
@@ -300,18 +301,3 @@
 	mark.giveUp = time.Now().Add(keepTrying)
 	return mark
 }
-
-// sleep pauses and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/oriolefront/oriolefront/internal/membership"
 	"github.com/oriolefront/oriolefront/internal/store"
 	"github.com/oriolefront/oriolefront/internal/store/storefake"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // fleet is several Syncers on one store, joined by links in memory.
@@ -73,7 +74,7 @@
 	for _, v := range vms {
 		wg.Go(func() { v.Run(ctx) })
 		wg.Go(func() {
-			for pause(ctx, 10*time.Millisecond) {
+			for wait.For(ctx, 10*time.Millisecond) {
 				v.beat()
 			}
 		})
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -10,6 +10,7 @@
 	"github.com/oriolefront/oriolefront/internal/apierror"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // Result is what became of a patch for good.
@@ -69,7 +70,7 @@
 		case !sub.uncertain && !errors.Is(err, errRetry):
 			return Verdict{}, err
 		}
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			return Verdict{}, sub.gaveUp()
 		}
 	}
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -19,6 +19,7 @@
 	"github.com/oriolefront/oriolefront/internal/link"
 	"github.com/oriolefront/oriolefront/internal/membership"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 const (
@@ -172,7 +173,7 @@
 		if err := s.start(ctx); err != nil {
 			s.o.Log.Warn("no configuration yet", "error", err)
 		}
-		if s.current() == nil && !pause(ctx, s.interval()/4) {
+		if s.current() == nil && !wait.For(ctx, s.interval()/4) {
 			return
 		}
 	}
@@ -201,18 +202,6 @@
 	return base + rand.N(base/5+1)
 }
 
-// pause waits and reports whether ctx is still in force.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // start takes the highest version among the store and all peers.
 func (s *Syncer) start(ctx context.Context) error {
 	stored, storeErr := s.readHead(ctx)
--- a/internal/load/collector.go
+++ b/internal/load/collector.go
@@ -17,6 +17,7 @@
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/scheduler"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // Options are what a Collector is wired to. Zero values select the defaults.
@@ -145,7 +146,7 @@
 				c.poll(f)
 			}()
 		}
-		if !sleep(ctx, c.options.PublishInterval) {
+		if !wait.For(ctx, c.options.PublishInterval) {
 			return
 		}
 		select {
@@ -157,18 +158,6 @@
 	}
 }
 
-// sleep waits for d and reports whether ctx is still valid.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // touch asks for a new snapshot.
 func (c *Collector) touch() {
 	select {
--- a/internal/load/poll.go
+++ b/internal/load/poll.go
@@ -6,6 +6,7 @@
 
 	"github.com/oriolefront/oriolefront/internal/capacity"
 	"github.com/oriolefront/oriolefront/internal/scheduler"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // maxFailedPollInterval bounds how rarely a failed target is polled, so that
@@ -16,7 +17,7 @@
 // followed any more.
 func (c *Collector) poll(f *followed) {
 	ctx := f.ctx
-	if !sleep(ctx, jitter(c.options.PollInterval/8)) {
+	if !wait.For(ctx, jitter(c.options.PollInterval/8)) {
 		return
 	}
 	cacheAt := time.Duration(0)
@@ -26,7 +27,7 @@
 			c.pollCache(ctx, f)
 			cacheAt = scheduler.Now() + jitter(c.options.CacheInterval)
 		}
-		if !sleep(ctx, jitter(c.pollInterval(f))) {
+		if !wait.For(ctx, jitter(c.pollInterval(f))) {
 			return
 		}
 	}
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/store"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // Ceilings of the whole fleet on the platform's store.
@@ -215,14 +216,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= pause {
 		return false
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, pause)
 }
 
 // try waits for the call's turn and sends it once. sent is false when this VM
