--- /dev/null
+++ b/cmd/oriolegate/main.go
@@ -0,0 +1,98 @@
+// Command oriolegate is the entry process on the users' platform: it stands
+// between callers and targets. Every entry VM runs the same one.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/oriolefront/oriolefront/internal/logging"
+	"github.com/oriolefront/oriolefront/internal/process"
+	"github.com/oriolefront/oriolefront/internal/usage"
+	"github.com/oriolefront/oriolefront/internal/vmsettings"
+	"github.com/oriolefront/oriolefront/platform"
+)
+
+const usageText = `oriolegate serves callers from one entry VM of the users' platform.
+
+usage: oriolegate [-settings FILE] [-check]
+
+It reads its settings (docs/platform.md), takes the configuration from the
+platform's store and from other entry VMs, and serves until SIGTERM or SIGINT,
+which start a graceful shutdown. SIGHUP reads the settings again.
+
+exit codes: 0 shut down, 1 failed while running, 2 wrong usage or settings
+
+`
+
+// ownTable is the table of the store in which the VMs find each other.
+const ownTable = "oriole-vms"
+
+// Memory use: the collector keeps the heap below heapShare of the limit, and
+// otherwise trades memory for processor time at collectPercent.
+const (
+	heapShare      = 0.7
+	collectPercent = 75
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	flags := flag.NewFlagSet("oriolegate", flag.ContinueOnError)
+	file := flags.String("settings", os.Getenv(platform.SettingsVariable), "TOML `file` with the settings (default: named by the platform)")
+	check := flags.Bool("check", false, "check the settings and exit")
+	if code, ended := usage.Parse(flags, usageText, os.Args[1:], os.Stdout, os.Stderr); ended {
+		return code
+	}
+	if flags.NArg() > 0 {
+		return usage.Wrong(flags, os.Stderr, fmt.Sprintf("unexpected argument %q", flags.Arg(0)))
+	}
+	if *file == "" {
+		return usage.Wrong(flags, os.Stderr, "-settings is missing")
+	}
+	s, err := vmsettings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	return serve(s)
+}
+
+func serve(s *vmsettings.Settings) int {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(heapShare * float64(s.Memory.LimitMB) * (1 << 20)))
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close()
+	log, err := logging.New(out, s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	p, err := process.New(process.Options{
+		Settings: s, Log: log, Store: platform.NewStore(s.Store.Address),
+		Tables:  process.Tables{Operator: platform.OperatorTable, Targets: platform.TargetsTable, VMs: ownTable},
+		Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, LogDropped: out.Dropped,
+	})
+	if err != nil {
+		log.Error("not started", "error", err)
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := p.Run(ctx); err != nil {
+		log.Error("process failed", "error", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/forward/handler.go
@@ -0,0 +1,181 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/budget"
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/topology"
+	"github.com/oriolefront/oriolefront/internal/upstream"
+)
+
+const (
+	// defaultPatience bounds a request that names no deadline on a route
+	// without a timeout.
+	defaultPatience = 30 * time.Second
+	// writeGrace is how long after the deadline a caller may still read.
+	writeGrace = 400 * time.Millisecond
+	// heldBytes bounds the request bodies that the process holds.
+	heldBytes = 96 << 20
+)
+
+// Handler serves callers.
+type Handler struct {
+	Views    *topology.Holder
+	Protocol Protocol
+	Pool     *upstream.Pool
+	Board    *inflight.Board
+	Health   *Health
+	Budget   *RetryBudget
+	Log      *slog.Logger
+	Metrics  *Metrics
+	// Isolated reports whether the VM knows too little to start new work.
+	Isolated func() bool
+
+	bodies   *budget.Bytes
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// Init prepares the handler for use.
+func (h *Handler) Init() { h.bodies = budget.NewBytes(heldBytes) }
+
+// Stop makes the handler ask callers to use other connections.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// Active returns the number of requests that are being served.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	c := &call{request: r, arrived: time.Now(), tried: map[string]bool{}, out: newOutput(w)}
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if f := h.admit(c); f != nil {
+		h.refuse(c, f)
+		return
+	}
+	if f := h.readBody(c); f != nil {
+		h.refuse(c, f)
+		return
+	}
+	defer h.bodies.Give(int64(len(c.body)))
+	h.setWriteDeadline(c)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	h.Budget.OnRequest(c.service)
+	h.serve(ctx, c)
+}
+
+func (h *Handler) setWriteDeadline(c *call) {
+	err := c.out.control.SetWriteDeadline(c.deadline.Add(writeGrace))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		h.Log.Warn("no bound on writing to the caller", "request", c.meta.ID, "error", err)
+	}
+}
+
+// admit finds the route, the account and the deadline.
+func (h *Handler) admit(c *call) *refusal {
+	meta, err := h.Protocol.Request(c.request.Header)
+	c.meta = meta
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	view := h.Views.Get()
+	if view.Config == nil {
+		return refuseNoConfig
+	}
+	if h.Isolated() {
+		return refuseIsolated
+	}
+	host := strings.ToLower(c.request.Host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	path, _, _ := strings.Cut(c.request.URL.EscapedPath(), "?")
+	c.route = view.Route(host, path)
+	if c.route == nil {
+		return refuseNoRoute
+	}
+	c.account = view.Account(meta.Key)
+	if c.account == nil && !c.route.Public && len(view.Config.Accounts) > 0 {
+		return refuseKey
+	}
+	c.service = pickShare(c.route.Shares, meta.ID)
+	patience := meta.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if c.route.Timeout > 0 {
+		patience = min(patience, c.route.Timeout)
+	}
+	c.deadline = c.arrived.Add(patience)
+	return nil
+}
+
+// pickShare picks a service by weight. The same request id gets the same one.
+func pickShare(shares []topology.Share, id string) string {
+	total := 0
+	for _, s := range shares {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		return shares[0].Service
+	}
+	hash := fnv.New32a()
+	io.WriteString(hash, id)
+	at := int(hash.Sum32() % uint32(total))
+	for _, s := range shares {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
+// readBody reads the request's body whole, so that it can be sent again.
+func (h *Handler) readBody(c *call) *refusal {
+	limit := h.Views.Get().Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	if c.request.ContentLength > limit {
+		return refuseTooLarge
+	}
+	if !h.bodies.Take(max(c.request.ContentLength, 0)) {
+		return refuseMemory
+	}
+	body, err := io.ReadAll(io.LimitReader(c.request.Body, limit+1))
+	h.bodies.Give(max(c.request.ContentLength, 0))
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
+	}
+	if int64(len(body)) > limit {
+		return refuseTooLarge
+	}
+	if !h.bodies.Take(int64(len(body))) {
+		return refuseMemory
+	}
+	c.body = body
+	return nil
+}
+
+// refuse answers a call with a final answer of this system.
+func (h *Handler) refuse(c *call, f *refusal) {
+	h.Metrics.Refused(f.status)
+	h.Log.Info("request refused", "request", c.meta.ID, "status", f.status, "reason", f.reason,
+		"after", time.Since(c.arrived).Round(time.Millisecond), "prompt", c.meta.PromptTokens)
+	f.write(c.out, h.Protocol, c.meta.ID)
+}
--- /dev/null
+++ b/internal/forward/serve.go
@@ -0,0 +1,284 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/sse"
+	"github.com/oriolefront/oriolefront/internal/topology"
+	"github.com/oriolefront/oriolefront/internal/upstream"
+)
+
+// outcome says how one try at a target ended.
+type outcome uint8
+
+const (
+	delivered  outcome = iota // the caller has its answer
+	notSent                   // no byte reached the target
+	notRun                    // the target said that it did not run the request
+	failed                    // the target answered with a failure
+	lost                      // the target may have worked on the request
+	callerGone                // nobody waits for the answer
+)
+
+var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone"}
+
+// String implements fmt.Stringer.
+func (o outcome) String() string { return outcomeNames[o] }
+
+// bufferedAnswer is the size up to which an answer is read whole before it is
+// passed on, so that another target can be tried when it breaks off.
+const bufferedAnswer = 32 << 10
+
+// serve tries targets until the call is answered.
+func (h *Handler) serve(ctx context.Context, c *call) {
+	for {
+		target, f := h.place(ctx, c)
+		if target == nil {
+			h.end(ctx, c, f)
+			return
+		}
+		c.tried[target.ID] = true
+		o, err := h.try(ctx, c, target)
+		h.Log.Info("try ended", "request", c.meta.ID, "target", target.ID, "service", c.service, "outcome", o.String(),
+			"after", time.Since(c.arrived).Round(time.Millisecond), "events", c.out.events, "error", err)
+		if o == delivered || o == callerGone {
+			h.Metrics.Ended(c.route.Kind.String(), o, time.Since(c.arrived))
+			return
+		}
+		if o == lost {
+			c.mayHaveRun = true
+		}
+		if !h.mayTryAgain(ctx, c, o) {
+			h.end(ctx, c, nil)
+			return
+		}
+	}
+}
+
+// mayTryAgain decides whether another target may get the request.
+func (h *Handler) mayTryAgain(ctx context.Context, c *call, o outcome) bool {
+	if c.ended(ctx) || c.out.failed != nil {
+		return false
+	}
+	if o == notSent {
+		return len(c.tried) < maxUnreachable
+	}
+	if c.sent >= c.route.MaxTargets {
+		return false
+	}
+	if o != notRun && !c.route.Repeatable() {
+		return false
+	}
+	return h.Budget.Take(c.service)
+}
+
+// maxUnreachable bounds the targets that one request finds unreachable.
+const maxUnreachable = 6
+
+// end gives the call its final answer after the last try.
+func (h *Handler) end(ctx context.Context, c *call, f *refusal) {
+	switch {
+	case c.out.begun:
+		// The caller must not take a part for the whole.
+		h.Log.Warn("answer broken off", "request", c.meta.ID, "events", c.out.events, "last", c.out.last)
+		h.Metrics.Refused(0)
+		panic(http.ErrAbortHandler)
+	case c.request.Context().Err() != nil:
+		h.Metrics.Ended(c.route.Kind.String(), callerGone, time.Since(c.arrived))
+	case c.failure != nil:
+		h.Metrics.Ended(c.route.Kind.String(), failed, time.Since(c.arrived))
+		c.out.whole(c.failure)
+	case c.mayHaveRun && c.left() <= 0:
+		h.refuse(c, failTimeout)
+	case c.mayHaveRun:
+		h.refuse(c, failLost)
+	case f != nil:
+		h.refuse(c, f)
+	case c.left() <= 0:
+		h.refuse(c, failTimeoutUnrun)
+	default:
+		h.refuse(c, refuseBusy)
+	}
+}
+
+// try sends the call to one target.
+func (h *Handler) try(ctx context.Context, c *call, target *topology.Target) (outcome, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	running := h.Board.Start(inflight.Job{
+		Target: target.ID, PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.AnswerTokens,
+		PauseLimit: c.route.PauseLimit,
+	})
+	defer running.Done()
+	started := time.Now()
+	e, err := h.Pool.Do(ctx, target.ID, target.Address, h.outgoing(c, target), c.route.Kind == topology.Once, func(header http.Header) bool {
+		id := h.Protocol.Answer(0, header).ID
+		return id == "" || id == c.meta.ID
+	})
+	if err != nil {
+		return h.noAnswer(ctx, c, target, err)
+	}
+	defer e.Close()
+	c.sent++
+	a := h.Protocol.Answer(e.StatusCode, e.Header)
+	o, err := h.relay(ctx, c, target, e, a, running)
+	h.Health.Note(target.ID, o, time.Since(started))
+	return o, err
+}
+
+// outgoing builds the request for a target.
+func (h *Handler) outgoing(c *call, target *topology.Target) upstream.Request {
+	left := max(c.left(), time.Millisecond)
+	s := Send{Left: left, Target: target.ID, Account: c.accountName(), Urgency: -1, LastEvent: c.out.last}
+	return upstream.Request{
+		Method: c.request.Method, URI: c.request.URL.RequestURI(), Host: c.request.Host,
+		Header: h.Protocol.Outgoing(c.request.Header, s), Body: c.body,
+	}
+}
+
+// noAnswer classifies a try without an answer.
+func (h *Handler) noAnswer(ctx context.Context, c *call, target *topology.Target, err error) (outcome, error) {
+	if c.request.Context().Err() != nil {
+		return callerGone, err
+	}
+	var failure *upstream.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		h.Health.Note(target.ID, notSent, 0)
+		return notSent, err
+	}
+	c.sent++
+	if ctx.Err() == nil {
+		h.Health.Note(target.ID, lost, 0)
+	}
+	return lost, err
+}
+
+// relay passes an answer on.
+func (h *Handler) relay(ctx context.Context, c *call, target *topology.Target, e *upstream.Exchange, a Answer, running *inflight.Running) (outcome, error) {
+	if a.NotRun {
+		if _, err := io.Copy(io.Discard, io.LimitReader(e.Body, bufferedAnswer)); err == nil {
+			e.Complete()
+		}
+		if a.OtherTarget {
+			h.Health.Gone(target.ID)
+		}
+		return notRun, nil
+	}
+	if c.request.Context().Err() != nil {
+		return callerGone, nil
+	}
+	success := a.Status >= 200 && a.Status < 300
+	if success && !a.Signed {
+		return lost, errors.New("the target's success bears no signature")
+	}
+	if success && strings.HasPrefix(e.Header.Get("Content-Type"), "text/event-stream") {
+		return h.relayEvents(ctx, c, e, running)
+	}
+	return h.relayWhole(c, e, success)
+}
+
+// relayWhole passes on an answer that is no stream of events. A short one is
+// read whole first.
+func (h *Handler) relayWhole(c *call, e *upstream.Exchange, success bool) (outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(e.Body, bufferedAnswer))
+	if err != nil {
+		return lost, err
+	}
+	if len(body) < bufferedAnswer {
+		e.Complete()
+		return h.answerWhole(c, e, body, success)
+	}
+	if c.out.begun {
+		return lost, errors.New("a whole answer came where the rest of a stream was expected")
+	}
+	c.out.head(e.StatusCode, h.Protocol.AnswerHeader(e.Header))
+	c.out.write(body)
+	buffer := make([]byte, bufferedAnswer)
+	for {
+		n, err := e.Body.Read(buffer)
+		c.out.write(buffer[:n])
+		if c.out.failed != nil {
+			return callerGone, c.out.failed
+		}
+		if errors.Is(err, io.EOF) {
+			e.Complete()
+			return delivered, nil
+		}
+		if err != nil {
+			return lost, err
+		}
+	}
+}
+
+func (h *Handler) answerWhole(c *call, e *upstream.Exchange, body []byte, success bool) (outcome, error) {
+	if c.out.begun {
+		return lost, errors.New("a whole answer came where the rest of a stream was expected")
+	}
+	header := h.Protocol.AnswerHeader(e.Header)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	whole := &wholeAnswer{status: e.StatusCode, header: header, body: body}
+	if !success && e.StatusCode >= 500 {
+		c.failure = whole
+		return failed, nil
+	}
+	c.out.whole(whole)
+	return delivered, nil
+}
+
+// relayEvents passes on the whole events of a stream. The head goes out with
+// the first event, so that until then another target can answer instead.
+func (h *Handler) relayEvents(ctx context.Context, c *call, e *upstream.Exchange, running *inflight.Running) (outcome, error) {
+	events := sse.NewRawReader(e.Body)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			e.Complete()
+			if !c.out.begun {
+				c.out.head(e.StatusCode, h.Protocol.AnswerHeader(e.Header))
+			}
+			return delivered, nil
+		}
+		if err != nil {
+			if c.request.Context().Err() != nil {
+				return callerGone, err
+			}
+			return lost, err
+		}
+		running.FirstEvent()
+		if event.ID != "" && !newer(event.ID, c.out.last) {
+			continue
+		}
+		if !c.out.begun {
+			h.Metrics.FirstEvent(time.Since(c.arrived))
+			c.out.head(e.StatusCode, h.Protocol.AnswerHeader(e.Header))
+		}
+		c.out.write(event.Bytes)
+		if c.out.failed != nil {
+			return callerGone, c.out.failed
+		}
+		c.out.events++
+		if event.ID != "" {
+			c.out.last = event.ID
+		}
+	}
+}
+
+// newer reports whether an event comes after the last one that was passed on.
+func newer(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	a, errA := strconv.ParseInt(id, 10, 64)
+	b, errB := strconv.ParseInt(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
--- /dev/null
+++ b/internal/inflight/inflight.go
@@ -0,0 +1,145 @@
+// Package inflight keeps what all entry VMs have in flight: this VM's own
+// requests and what the others last told of theirs. Capacity of a target is
+// judged by the sum.
+package inflight
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Job describes a request that is at a target.
+type Job struct {
+	Target string
+	// Helpers are further engines that read parts of the prompt.
+	Helpers []string
+	// PromptTokens and AnswerTokens are 0 for plain services.
+	PromptTokens int
+	AnswerTokens int
+	// PauseLimit is the longest pause between events on time.
+	PauseLimit time.Duration
+	Worth      float64
+}
+
+// Item is a job as seen at one moment.
+type Item struct {
+	Job
+	Age time.Duration
+	// Writing is true once the first event has come, WritingFor ago.
+	Writing    bool
+	WritingFor time.Duration
+}
+
+// Running is a job of this VM.
+type Running struct {
+	board   *Board
+	job     Job
+	started time.Time
+	first   atomic.Int64 // time of the first event after started; 0 before
+}
+
+// FirstEvent notes that the answer has begun.
+func (r *Running) FirstEvent() {
+	if r.first.CompareAndSwap(0, int64(max(time.Since(r.started), 1))) {
+		r.board.notify()
+	}
+}
+
+// Done removes the job.
+func (r *Running) Done() {
+	r.board.mu.Lock()
+	delete(r.board.own, r)
+	r.board.mu.Unlock()
+	r.board.notify()
+}
+
+func (r *Running) item(now time.Time) Item {
+	i := Item{Job: r.job, Age: now.Sub(r.started)}
+	if first := time.Duration(r.first.Load()); first > 0 {
+		i.Writing, i.WritingFor = true, i.Age-first
+	}
+	return i
+}
+
+// Board holds the jobs of all VMs.
+type Board struct {
+	// Changed is called after each change of this VM's own jobs.
+	Changed func()
+
+	mu    sync.Mutex
+	own   map[*Running]struct{}
+	peers map[string]peerJobs
+}
+
+type peerJobs struct {
+	items []Item
+	at    time.Time
+}
+
+// New returns an empty board.
+func New() *Board {
+	return &Board{own: map[*Running]struct{}{}, peers: map[string]peerJobs{}}
+}
+
+func (b *Board) notify() {
+	if b.Changed != nil {
+		b.Changed()
+	}
+}
+
+// Start adds a job of this VM.
+func (b *Board) Start(j Job) *Running {
+	r := &Running{board: b, job: j, started: time.Now()}
+	b.mu.Lock()
+	b.own[r] = struct{}{}
+	b.mu.Unlock()
+	b.notify()
+	return r
+}
+
+// Own returns this VM's jobs.
+func (b *Board) Own() []Item {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	items := make([]Item, 0, len(b.own))
+	for r := range b.own {
+		items = append(items, r.item(now))
+	}
+	return items
+}
+
+// SetPeer replaces the jobs of another VM by those that it has told now.
+func (b *Board) SetPeer(name string, items []Item) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(items) == 0 {
+		delete(b.peers, name)
+		return
+	}
+	b.peers[name] = peerJobs{items: items, at: time.Now()}
+}
+
+// ByTarget returns the jobs of all VMs by target. A job with helpers is listed
+// at its target alone.
+func (b *Board) ByTarget() map[string][]Item {
+	now := time.Now()
+	loads := map[string][]Item{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for r := range b.own {
+		loads[r.job.Target] = append(loads[r.job.Target], r.item(now))
+	}
+	for _, p := range b.peers {
+		lag := now.Sub(p.at)
+		for _, i := range p.items {
+			i.Age += lag
+			if i.Writing {
+				i.WritingFor += lag
+			}
+			loads[i.Target] = append(loads[i.Target], i)
+		}
+	}
+	return loads
+}
--- a/internal/link/security.go
+++ b/internal/link/security.go
@@ -13,7 +13,9 @@
 // Security says how VMs authenticate each other: with mutual TLS, or not at all
 // on loopback. The zero value refuses every connection.
 type Security struct {
-	plaintext   bool
+	plaintext bool
+	// private allows plaintext beyond loopback.
+	private     bool
 	certificate tls.Certificate
 	authority   *x509.CertPool
 }
@@ -21,6 +23,10 @@
 // Plaintext returns the mode without TLS. It works on loopback addresses only.
 func Plaintext() Security { return Security{plaintext: true} }
 
+// PrivateNetwork returns the mode without TLS for networks that only the VMs of
+// this system can reach, where the platform hands out no certificates.
+func PrivateNetwork() Security { return Security{plaintext: true, private: true} }
+
 // MutualTLS returns the mode in which both sides present a certificate signed
 // by authority. The certificate must name the IP address of its VM.
 func MutualTLS(certificate tls.Certificate, authority *x509.CertPool) Security {
@@ -50,7 +56,7 @@
 	if err != nil {
 		return fmt.Errorf("peer address %q is not IP:port: %w", address, err)
 	}
-	if s.plaintext && !parsed.Addr().IsLoopback() {
+	if s.plaintext && !s.private && !parsed.Addr().IsLoopback() {
 		return fmt.Errorf("peer address %s: plaintext is allowed on loopback only; configure mutual TLS", address)
 	}
 	if !s.plaintext && s.authority == nil {
--- /dev/null
+++ b/internal/peers/message.go
@@ -0,0 +1,83 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/replica"
+)
+
+// kindChanges asks another VM for changes of a table over a link.
+const kindChanges = "TableChanges"
+
+// changesRequest asks for the changes of a table after a version.
+type changesRequest struct {
+	Table string `msgpack:"t"`
+	After uint64 `msgpack:"a"`
+}
+
+// changesReply answers a changesRequest.
+type changesReply struct {
+	Delta replica.Delta `msgpack:"d"`
+}
+
+// heartbeat is a datagram with everything that a VM tells of itself. Each one
+// replaces the one before, so a lost one does no lasting harm.
+type heartbeat struct {
+	From string `msgpack:"f"`
+	// Started is a random number that tells two starts of a VM apart; Sequence
+	// orders the heartbeats of one.
+	Started  uint64 `msgpack:"i"`
+	Sequence uint64 `msgpack:"q"`
+	Zone     string `msgpack:"z"`
+	// Datagrams and Links are the addresses at which the VM is reached.
+	Datagrams string `msgpack:"u"`
+	Links     string `msgpack:"l"`
+	Leaving   bool   `msgpack:"x,omitempty"`
+	// StoreAgeMs is the age of the last answer of the store to this VM.
+	StoreAgeMs int64 `msgpack:"a"`
+	// Positions holds the version up to which each table is known.
+	Positions map[string]uint64 `msgpack:"p"`
+	Jobs      []jobMessage      `msgpack:"j,omitempty"`
+}
+
+// jobMessage is an inflight.Item on the wire; times are in milliseconds.
+type jobMessage struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // option of the codec
+	Target     string
+	Helpers    []string
+	Prompt     int
+	Answer     int
+	PauseMs    int32
+	Worth      float32
+	AgeMs      int32
+	Writing    bool
+	WritingFor int32
+}
+
+func encodeJobs(items []inflight.Item) []jobMessage {
+	jobs := make([]jobMessage, 0, len(items))
+	for _, i := range items {
+		jobs = append(jobs, jobMessage{
+			Target: i.Target, Helpers: i.Helpers, Prompt: i.PromptTokens, Answer: i.AnswerTokens,
+			PauseMs: int32(i.PauseLimit.Milliseconds()), Worth: float32(i.Worth), AgeMs: int32(i.Age.Milliseconds()),
+			Writing: i.Writing, WritingFor: int32(i.WritingFor.Milliseconds()),
+		})
+	}
+	return jobs
+}
+
+func decodeJobs(jobs []jobMessage) []inflight.Item {
+	items := make([]inflight.Item, 0, len(jobs))
+	for _, j := range jobs {
+		items = append(items, inflight.Item{
+			Job: inflight.Job{
+				Target: j.Target, Helpers: j.Helpers, PromptTokens: j.Prompt, AnswerTokens: j.Answer,
+				PauseLimit: time.Duration(j.PauseMs) * time.Millisecond, Worth: float64(j.Worth),
+			},
+			Age:     time.Duration(j.AgeMs) * time.Millisecond,
+			Writing: j.Writing, WritingFor: time.Duration(j.WritingFor) * time.Millisecond,
+		})
+	}
+	return items
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,422 @@
+// Package peers connects the entry VMs: heartbeats by datagram carry what each
+// VM has in flight and how far its copies of the store's tables reach; a VM that
+// hears of newer changes fetches them over a link.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/replica"
+)
+
+// Times of the mesh.
+const (
+	// minInterval is the time between heartbeats of a small fleet; perPeer is
+	// added for each other VM, so that the cost of a VM grows slowly.
+	minInterval = 250 * time.Millisecond
+	perPeer     = 5 * time.Millisecond
+	// coalesce gathers changes that come together into one heartbeat.
+	coalesce = 3 * time.Millisecond
+	// lostAfter is the silence after which a VM counts as lost and its jobs as
+	// ended.
+	lostAfter = 2 * time.Second
+	// forgetAfter is the silence after which a VM is not sent to any more.
+	forgetAfter  = 5 * time.Minute
+	fetchTimeout = 700 * time.Millisecond
+	maxDatagram  = 60 << 10
+)
+
+// Self describes this VM.
+type Self struct {
+	Name      string
+	Zone      string
+	Datagrams string
+	Links     string
+}
+
+// Mesh is this VM's side of the connections to the others.
+type Mesh struct {
+	self    Self
+	log     *slog.Logger
+	board   *inflight.Board
+	copies  map[string]*replica.Copy
+	merge   func(replica.Delta)
+	contact func() time.Time // last answer of the store
+
+	conn    *net.UDPConn
+	client  *link.Client
+	server  *link.Server
+	started uint64
+	wake    chan struct{}
+	leaving atomic.Bool
+
+	mu       sync.Mutex
+	peers    map[string]*peer // by datagram address
+	sequence uint64
+	fetching map[string]bool // by table
+}
+
+// peer is what is known of another VM.
+type peer struct {
+	datagrams *net.UDPAddr
+	last      heartbeat
+	heardAt   time.Time // zero when never heard
+	addedAt   time.Time
+	lost      bool
+	// earlier is the start before the last one heard; its late datagrams are
+	// ignored.
+	earlier uint64
+}
+
+// Options are the parts that a Mesh works with.
+type Options struct {
+	Self   Self
+	Log    *slog.Logger
+	Board  *inflight.Board
+	Copies []*replica.Copy
+	// Merge takes changes that another VM has sent.
+	Merge func(replica.Delta)
+	// StoreContact returns when the store last answered this VM.
+	StoreContact func() time.Time
+}
+
+// New opens the mesh's sockets.
+func New(o Options) (*Mesh, error) {
+	address, err := net.ResolveUDPAddr("udp4", o.Self.Datagrams)
+	if err != nil {
+		return nil, fmt.Errorf("datagram address %q: %w", o.Self.Datagrams, err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for heartbeats: %w", err)
+	}
+	m := &Mesh{
+		self: o.Self, log: o.Log, board: o.Board, merge: o.Merge, contact: o.StoreContact,
+		copies: map[string]*replica.Copy{}, conn: conn, started: rand.Uint64(),
+		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
+		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
+	}
+	for _, c := range o.Copies {
+		m.copies[c.Table()] = c
+	}
+	m.server.Handle(kindChanges, m.changes)
+	if _, err := m.server.Listen(o.Self.Links); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("listen for links: %w", err)
+	}
+	return m, nil
+}
+
+// Close closes the sockets.
+func (m *Mesh) Close() {
+	m.conn.Close()
+	m.client.Close()
+	m.server.Close()
+}
+
+// Add makes a VM known by its datagram address.
+func (m *Mesh) Add(address string) {
+	if address == m.self.Datagrams {
+		return
+	}
+	parsed, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		m.log.Warn("peer ignored: its address cannot be read", "address", address, "error", err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[address] == nil {
+		m.peers[address] = &peer{datagrams: parsed, addedAt: time.Now()}
+	}
+}
+
+// Wake sends a heartbeat soon.
+func (m *Mesh) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the others that this VM stops.
+func (m *Mesh) Leave() {
+	m.leaving.Store(true)
+	m.Wake()
+}
+
+// Run sends and receives heartbeats until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	go m.receive(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+			time.Sleep(coalesce)
+		case <-timer.C:
+		}
+		m.expire()
+		m.broadcast()
+		timer.Reset(m.interval())
+	}
+}
+
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return minInterval + time.Duration(len(m.peers))*perPeer
+}
+
+// broadcast sends one heartbeat to every VM known.
+func (m *Mesh) broadcast() {
+	data, err := m.encode()
+	if err != nil {
+		m.log.Error("heartbeat not sent", "error", err)
+		return
+	}
+	m.mu.Lock()
+	addresses := make([]*net.UDPAddr, 0, len(m.peers))
+	for _, p := range m.peers {
+		addresses = append(addresses, p.datagrams)
+	}
+	m.mu.Unlock()
+	for _, a := range addresses {
+		if _, err := m.conn.WriteToUDP(data, a); err != nil {
+			m.log.Debug("heartbeat not sent", "peer", a.String(), "error", err)
+		}
+	}
+}
+
+func (m *Mesh) encode() ([]byte, error) {
+	select {
+	case <-m.wake:
+	default:
+	}
+	m.mu.Lock()
+	m.sequence++
+	h := heartbeat{
+		From: m.self.Name, Started: m.started, Sequence: m.sequence, Zone: m.self.Zone,
+		Datagrams: m.self.Datagrams, Links: m.self.Links, Leaving: m.leaving.Load(), Positions: map[string]uint64{},
+	}
+	m.mu.Unlock()
+	h.StoreAgeMs = int64(1 << 40)
+	if at := m.contact(); !at.IsZero() {
+		h.StoreAgeMs = time.Since(at).Milliseconds()
+	}
+	for table, c := range m.copies {
+		h.Positions[table] = c.Position()
+	}
+	h.Jobs = encodeJobs(m.board.Own())
+	data, err := msgpack.Marshal(h)
+	if err != nil {
+		return nil, fmt.Errorf("encode heartbeat: %w", err)
+	}
+	if len(data) > maxDatagram {
+		return nil, fmt.Errorf("heartbeat has %d bytes, more than the limit of %d", len(data), maxDatagram)
+	}
+	return data, nil
+}
+
+func (m *Mesh) receive(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		n, _, err := m.conn.ReadFromUDP(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				m.log.Warn("heartbeat not received", "error", err)
+				time.Sleep(coalesce)
+			}
+			continue
+		}
+		var h heartbeat
+		if err := msgpack.Unmarshal(buffer[:n], &h); err != nil {
+			m.log.Warn("heartbeat ignored: it cannot be decoded", "bytes", n, "error", err)
+			continue
+		}
+		m.accept(ctx, h)
+	}
+}
+
+// accept takes a heartbeat unless it is older than one that was taken.
+func (m *Mesh) accept(ctx context.Context, h heartbeat) {
+	if h.From == m.self.Name && h.Datagrams == m.self.Datagrams {
+		return
+	}
+	m.Add(h.Datagrams)
+	m.mu.Lock()
+	p := m.peers[h.Datagrams]
+	if p == nil {
+		m.mu.Unlock()
+		return
+	}
+	old := p.last
+	if h.Started == p.earlier || h.Started == old.Started && h.Sequence <= old.Sequence {
+		m.mu.Unlock()
+		return
+	}
+	restarted := h.Started != old.Started
+	if restarted {
+		p.earlier = old.Started
+	}
+	first := p.heardAt.IsZero() || p.lost || restarted
+	p.last, p.heardAt, p.lost = h, time.Now(), false
+	m.mu.Unlock()
+	if first {
+		m.log.Info("peer heard", "peer", h.From, "zone", h.Zone, "address", h.Datagrams)
+		m.Wake()
+	}
+	m.board.SetPeer(h.Datagrams, decodeJobs(h.Jobs))
+	m.fetchNewer(ctx, h)
+}
+
+// expire drops the jobs of VMs that are silent.
+func (m *Mesh) expire() {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, p := range m.peers {
+		silent := now.Sub(p.heardAt)
+		if p.heardAt.IsZero() {
+			silent = now.Sub(p.addedAt)
+		}
+		if silent > lostAfter && !p.lost && !p.heardAt.IsZero() {
+			p.lost = true
+			m.log.Warn("peer lost", "peer", p.last.From, "silent", silent, "leaving", p.last.Leaving)
+			m.board.SetPeer(address, nil)
+		}
+		if silent > forgetAfter {
+			delete(m.peers, address)
+		}
+	}
+}
+
+// fetchNewer fetches the changes of tables of which the sender knows more.
+func (m *Mesh) fetchNewer(ctx context.Context, h heartbeat) {
+	for table, position := range h.Positions {
+		c := m.copies[table]
+		if c == nil || position <= c.Position() || !m.beginFetch(table) {
+			continue
+		}
+		go func() {
+			defer m.endFetch(table)
+			m.fetch(ctx, h, c)
+		}()
+	}
+}
+
+func (m *Mesh) beginFetch(table string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fetching[table] {
+		return false
+	}
+	m.fetching[table] = true
+	return true
+}
+
+func (m *Mesh) endFetch(table string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.fetching, table)
+}
+
+// ownReadHead is the time given to this VM's own watch of the store before it
+// asks another VM for the same changes.
+const ownReadHead = 30 * time.Millisecond
+
+func (m *Mesh) fetch(ctx context.Context, h heartbeat, c *replica.Copy) {
+	time.Sleep(ownReadHead)
+	if c.Position() >= h.Positions[c.Table()] {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var reply changesReply
+	if err := m.client.Call(ctx, h.Links, kindChanges, changesRequest{Table: c.Table(), After: c.Position()}, &reply); err != nil {
+		m.log.Warn("changes not fetched from peer", "peer", h.From, "table", c.Table(), "error", err)
+		return
+	}
+	before := c.Position()
+	m.merge(reply.Delta)
+	m.log.Info("changes fetched from peer", "peer", h.From, "table", c.Table(),
+		"from", before, "to", c.Position(), "records", len(reply.Delta.Records))
+}
+
+// changes answers a changesRequest.
+func (m *Mesh) changes(_ context.Context, payload []byte) (any, error) {
+	var request changesRequest
+	if err := msgpack.Unmarshal(payload, &request); err != nil {
+		return nil, fmt.Errorf("decode: %w", err)
+	}
+	c := m.copies[request.Table]
+	if c == nil {
+		return nil, fmt.Errorf("table %q is not copied here", request.Table)
+	}
+	return changesReply{Delta: c.Since(request.After)}, nil
+}
+
+// Status is what the mesh knows of the fleet.
+type Status struct {
+	// VMs counts the VMs heard, this one included.
+	VMs int
+	// Heard is false when no other VM is heard though some are known.
+	Heard bool
+	// Known counts the other VMs that were ever heard.
+	Known int
+	// StoreAge is the age of the freshest contact of any VM with the store.
+	StoreAge time.Duration
+	// Readers are the names of the VMs of this zone that are heard and reach
+	// the store, this one included, in order.
+	Readers []string
+}
+
+// storeFresh is the age of a contact with the store below which a VM counts as
+// reaching it.
+const storeFresh = 6 * time.Second
+
+// Status returns what is known now.
+func (m *Mesh) Status() Status {
+	now := time.Now()
+	s := Status{VMs: 1, StoreAge: time.Duration(1 << 60)}
+	if at := m.contact(); !at.IsZero() {
+		s.StoreAge = now.Sub(at)
+	}
+	s.Readers = append(s.Readers, m.self.Name)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.heardAt.IsZero() {
+			continue
+		}
+		s.Known++
+		if p.lost || p.last.Leaving {
+			continue
+		}
+		s.VMs++
+		s.Heard = true
+		age := time.Duration(p.last.StoreAgeMs)*time.Millisecond + now.Sub(p.heardAt)
+		s.StoreAge = min(s.StoreAge, age)
+		if p.last.Zone == m.self.Zone && age < storeFresh {
+			s.Readers = append(s.Readers, p.last.From)
+		}
+	}
+	sort.Strings(s.Readers)
+	s.Readers = slices.Compact(s.Readers)
+	return s
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,373 @@
+// Package process wires the parts of oriolegate, runs and stops them.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oriolefront/oriolefront/internal/forward"
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/peers"
+	"github.com/oriolefront/oriolefront/internal/replica"
+	"github.com/oriolefront/oriolefront/internal/storesync"
+	"github.com/oriolefront/oriolefront/internal/tcp"
+	"github.com/oriolefront/oriolefront/internal/topology"
+	"github.com/oriolefront/oriolefront/internal/upstream"
+	"github.com/oriolefront/oriolefront/internal/vmsettings"
+	"github.com/oriolefront/oriolefront/internal/wait"
+)
+
+// Times of a process.
+const (
+	// isolatedAfter is the time without any word from the store or another VM
+	// after which no new work is started: the operator may have taken a zone, a
+	// key or a target out of use meanwhile.
+	isolatedAfter = 4 * time.Second
+	// outageSettle is how long after an outage rows may still be missing.
+	outageSettle = 2 * time.Second
+	// acceptAfterStop is how long a stopping VM still takes connections: until
+	// the balancer has seen two failed readiness checks, one a second.
+	acceptAfterStop = 2500 * time.Millisecond
+	// stopReserve is left of the grace time when the process ends by itself.
+	stopReserve  = 400 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
+	headerBytes  = 64 << 10
+	// headerTimeout and idleTimeout bound slow and idle callers; both lie above
+	// what configurations name.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// readersPerZone is the number of VMs of a zone that read the store. The
+	// others hear from them.
+	readersPerZone = 3
+	joinInterval   = 3 * time.Second
+	storeCallLimit = time.Second
+)
+
+// Tables names the tables of the store.
+type Tables struct {
+	Operator string
+	Targets  string
+	// VMs is this system's own table, in which VMs find each other.
+	VMs string
+}
+
+// Process is one entry VM's process.
+type Process struct {
+	settings *vmsettings.Settings
+	log      *slog.Logger
+	store    storesync.Store
+	tables   Tables
+
+	views     *views
+	holder    *topology.Holder
+	board     *inflight.Board
+	mesh      *peers.Mesh
+	operator  *storesync.Follower
+	targets   *storesync.Follower
+	pool      *upstream.Pool
+	health    *forward.Health
+	handler   *forward.Handler
+	metrics   *metrics.Set
+	isolated  atomic.Bool
+	stopping  atomic.Bool
+	outage    atomic.Pointer[time.Time] // when the store was last in an outage
+	callers   *http.Server
+	readiness *http.Server
+	observers *http.Server
+}
+
+// Options are what a Process needs from outside.
+type Options struct {
+	Settings *vmsettings.Settings
+	Log      *slog.Logger
+	Store    storesync.Store
+	Tables   Tables
+	Decoder  Decoder
+	Protocol forward.Protocol
+	// LogDropped returns the number of log lines that were dropped.
+	LogDropped func() int64
+}
+
+// New builds a process.
+func New(o Options) (*Process, error) {
+	p := &Process{settings: o.Settings, log: o.Log, store: o.Store, tables: o.Tables,
+		holder: topology.NewHolder(), board: inflight.New(), health: forward.NewHealth(), metrics: metrics.NewSet()}
+	p.views = newViews(o.Log, o.Decoder, p.holder, p.unsettled)
+	reading := func() bool { return p.reading() }
+	p.operator = &storesync.Follower{Store: o.Store, Copy: replica.New(o.Tables.Operator), Log: o.Log, Changed: p.operatorChanged, Reading: reading}
+	p.targets = &storesync.Follower{Store: o.Store, Copy: replica.New(o.Tables.Targets), Log: o.Log, Changed: p.targetsChanged, Reading: reading}
+	mesh, err := peers.New(peers.Options{
+		Self: peers.Self{Name: o.Settings.VM.Name, Zone: o.Settings.VM.Zone,
+			Datagrams: o.Settings.Listen.Datagrams, Links: o.Settings.Listen.Links},
+		Log: o.Log, Board: p.board, Copies: []*replica.Copy{p.operator.Copy, p.targets.Copy},
+		Merge: p.merge, StoreContact: p.storeContact,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.mesh = mesh
+	p.board.Changed = mesh.Wake
+	dialed := p.metrics.NewCounter("oriole_target_connections_total")
+	p.pool = upstream.NewPool(dialed.Inc)
+	r := o.Settings.Retries
+	p.handler = &forward.Handler{
+		Views: p.holder, Protocol: o.Protocol, Pool: p.pool, Board: p.board, Health: p.health, Log: o.Log,
+		Budget: forward.NewRetryBudget(forward.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()},
+			func() int { return mesh.Status().VMs }),
+		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load,
+	}
+	p.handler.Init()
+	p.registerGauges(o.LogDropped)
+	return p, nil
+}
+
+func (p *Process) registerGauges(logDropped func() int64) {
+	p.metrics.NewGauge("oriole_requests_active", func() float64 { return float64(p.handler.Active()) })
+	p.metrics.NewGauge("oriole_peers_heard", func() float64 { return float64(p.mesh.Status().VMs - 1) })
+	p.metrics.NewGauge("oriole_store_age_seconds", func() float64 { return p.mesh.Status().StoreAge.Seconds() })
+	p.metrics.NewGauge("oriole_targets", func() float64 { return float64(len(p.holder.Get().Targets())) })
+	if logDropped != nil {
+		p.metrics.NewGauge("oriole_log_lines_dropped", func() float64 { return float64(logDropped()) })
+	}
+}
+
+// merge takes changes that another VM has sent.
+func (p *Process) merge(d replica.Delta) {
+	for _, f := range []*storesync.Follower{p.operator, p.targets} {
+		if f.Copy.Table() == d.Table {
+			f.Merge(d)
+		}
+	}
+}
+
+func (p *Process) operatorChanged(changed []replica.Record) {
+	p.views.operatorChanged(changed)
+	p.mesh.Wake()
+}
+
+func (p *Process) targetsChanged(changed []replica.Record) {
+	p.views.targetsChanged(changed)
+	p.mesh.Wake()
+}
+
+// storeContact returns the last moment at which the store answered this VM.
+func (p *Process) storeContact() time.Time {
+	a, b := p.operator.LastContact(), p.targets.LastContact()
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// reading reports whether this VM reads the store: it is among the first of its
+// zone that reach it, or does not hear them.
+func (p *Process) reading() bool {
+	s := p.mesh.Status()
+	at := slices.Index(s.Readers, p.settings.VM.Name)
+	return at < readersPerZone
+}
+
+// unsettled reports whether rows may have lapsed in an outage of the store.
+func (p *Process) unsettled() bool {
+	at := p.outage.Load()
+	return at != nil && time.Since(*at) < outageSettle
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer p.mesh.Close()
+	failures := make(chan error, 3)
+	if err := p.listen(failures); err != nil {
+		return err
+	}
+	p.log.Info("started", "vm", p.settings.VM.Name, "zone", p.settings.VM.Zone, "callers", p.settings.Listen.Callers)
+	var tasks sync.WaitGroup
+	for _, task := range []func(context.Context){p.operator.Run, p.targets.Run, p.mesh.Run, p.join, p.tick} {
+		tasks.Go(func() { task(background) })
+	}
+	var err error
+	select {
+	case err = <-failures:
+	case <-ctx.Done():
+		p.stop()
+	}
+	cancel()
+	return err
+}
+
+func (p *Process) listen(failures chan<- error) error {
+	listener, err := tcp.Listen(context.Background(), p.settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	errorLog := slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
+	p.callers = &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: errorLog}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /ready", p.ready)
+	p.readiness = &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
+	observe := http.NewServeMux()
+	observe.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.WritePrometheus(w) })
+	p.observers = &http.Server{Handler: observe, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
+	go serve(p.callers, listener, failures)
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{p.readiness, p.settings.Listen.Readiness}, {p.observers, p.settings.Listen.Metrics}} {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fmt.Errorf("listen at %s: %w", s.address, err)
+		}
+		go serve(s.server, l, failures)
+	}
+	return nil
+}
+
+func serve(s *http.Server, l net.Listener, failures chan<- error) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failures <- fmt.Errorf("serve %s: %w", l.Addr(), err)
+	}
+}
+
+// ready answers the balancer's check.
+func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
+	view := p.holder.Get()
+	reason := ""
+	switch {
+	case p.stopping.Load():
+		reason = "stopping"
+	case view.Config == nil:
+		reason = "no configuration"
+	case len(view.Targets()) == 0:
+		reason = "no targets"
+	case p.isolated.Load():
+		reason = "isolated"
+	}
+	if reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// tick does what depends on time alone.
+func (p *Process) tick(ctx context.Context) {
+	for wait.For(ctx, tickInterval) {
+		if at := p.storeContact(); p.operator.Lost() && !at.IsZero() {
+			now := time.Now()
+			p.outage.Store(&now)
+		}
+		p.views.tick()
+		p.judgeIsolation()
+		view := p.holder.Get()
+		known := map[string]bool{}
+		for _, t := range view.Targets() {
+			known[t.ID] = true
+		}
+		inUse := func(id string) bool { return known[id] }
+		p.pool.Sweep(inUse)
+		p.health.Retain(inUse)
+	}
+}
+
+func (p *Process) judgeIsolation() {
+	s := p.mesh.Status()
+	isolated := !s.Heard && s.Known > 0 && s.StoreAge > isolatedAfter
+	if isolated != p.isolated.Load() {
+		p.log.Warn("isolation changed", "isolated", isolated, "store_age", s.StoreAge, "peers_known", s.Known)
+		p.isolated.Store(isolated)
+	}
+}
+
+// vmRow is this VM's row in the store, by which others find it.
+type vmRow struct {
+	Datagrams string `json:"datagrams"`
+	Links     string `json:"links"`
+	Zone      string `json:"zone"`
+}
+
+// join makes this VM known to the others and finds them.
+func (p *Process) join(ctx context.Context) {
+	p.addSeeds()
+	for ctx.Err() == nil {
+		err := p.register(ctx)
+		if err == nil {
+			return
+		}
+		p.log.Warn("not registered in the store; trying again", "error", err)
+		wait.For(ctx, joinInterval/3)
+	}
+}
+
+// addSeeds adds the VMs that the settings name. Their datagram port is the same
+// as here.
+func (p *Process) addSeeds() {
+	own, err := netip.ParseAddrPort(p.settings.Listen.Datagrams)
+	if err != nil {
+		return // checked with the settings
+	}
+	for _, seed := range p.settings.Peers.Seeds {
+		if a, err := netip.ParseAddrPort(seed); err == nil {
+			p.mesh.Add(netip.AddrPortFrom(a.Addr(), own.Port()).String())
+		}
+	}
+}
+
+func (p *Process) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallLimit)
+	defer cancel()
+	row, err := json.Marshal(vmRow{Datagrams: p.settings.Listen.Datagrams, Links: p.settings.Listen.Links, Zone: p.settings.VM.Zone})
+	if err != nil {
+		return fmt.Errorf("encode the VM's row: %w", err)
+	}
+	if err := p.store.Put(ctx, p.tables.VMs, p.settings.VM.Name, row); err != nil {
+		return fmt.Errorf("write the VM's row: %w", err)
+	}
+	rows, _, err := p.store.List(ctx, p.tables.VMs)
+	if err != nil {
+		return fmt.Errorf("list the VMs: %w", err)
+	}
+	for _, r := range rows {
+		var v vmRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			p.log.Warn("VM row ignored", "key", r.Key, "error", err)
+			continue
+		}
+		p.mesh.Add(v.Datagrams)
+	}
+	p.log.Info("registered in the store", "vms", len(rows))
+	p.mesh.Wake()
+	return nil
+}
+
+// stop ends the process gracefully: readiness ends first, new connections are
+// taken until the balancer has noticed, and requests are served to their end.
+func (p *Process) stop() {
+	grace := p.settings.Stop.Grace.Std() - stopReserve
+	p.log.Info("stopping", "active", p.handler.Active(), "grace", grace)
+	p.stopping.Store(true)
+	p.handler.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	wait.For(ctx, min(acceptAfterStop, grace/2))
+	if err := p.callers.Shutdown(ctx); err != nil {
+		p.log.Warn("requests cut off at the end of the grace time", "active", p.handler.Active(), "error", err)
+	}
+	p.mesh.Leave()
+	wait.For(ctx, 20*time.Millisecond)
+	p.pool.Close()
+	p.log.Info("stopped", "active", p.handler.Active())
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,129 @@
+// Package replica keeps a copy of tables of the platform's store in memory and
+// brings it up to date from the store or from another VM's copy. Records carry
+// the store's version of their last change, so copies can be merged in any
+// order and never go back.
+package replica
+
+import (
+	"sort"
+	"sync"
+)
+
+// Record is a row, or the trace of a removed one.
+type Record struct {
+	Key     string `msgpack:"k"`
+	Value   []byte `msgpack:"v"`
+	Version uint64 `msgpack:"n"`
+	Removed bool   `msgpack:"r,omitempty"`
+}
+
+// Delta is a set of changes of one table: applied to a copy that knows all
+// changes up to From, it makes one that knows all up to To.
+type Delta struct {
+	Table   string   `msgpack:"t"`
+	From    uint64   `msgpack:"f"`
+	To      uint64   `msgpack:"o"`
+	Records []Record `msgpack:"r"`
+}
+
+// Copy is a copy of one table.
+type Copy struct {
+	table string
+
+	mu       sync.Mutex
+	records  map[string]Record
+	position uint64
+}
+
+// New returns a copy that knows nothing.
+func New(table string) *Copy {
+	return &Copy{table: table, records: map[string]Record{}}
+}
+
+// Table returns the name of the table.
+func (c *Copy) Table() string { return c.table }
+
+// Position returns the version up to which all changes are known.
+func (c *Copy) Position() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position
+}
+
+// Since returns the changes after a version.
+func (c *Copy) Since(from uint64) Delta {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Delta{Table: c.table, From: from, To: c.position}
+	for _, r := range c.records {
+		if r.Version > from {
+			d.Records = append(d.Records, r)
+		}
+	}
+	sort.Slice(d.Records, func(i, j int) bool { return d.Records[i].Version < d.Records[j].Version })
+	return d
+}
+
+// Apply merges changes. It reports the records that changed and whether the
+// delta fits: one that begins after the position of the copy leaves a gap and
+// is not applied.
+func (c *Copy) Apply(d Delta) (changed []Record, fits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.From > c.position {
+		return nil, false
+	}
+	for _, r := range d.Records {
+		if old, known := c.records[r.Key]; known && old.Version >= r.Version {
+			continue
+		}
+		c.records[r.Key] = r
+		changed = append(changed, r)
+	}
+	c.position = max(c.position, d.To)
+	return changed, true
+}
+
+// Replace merges a complete listing of the table as of a version. Records that
+// it lacks and that are not newer are removed ones. A listing older than the
+// copy is ignored.
+func (c *Copy) Replace(records []Record, version uint64) (changed []Record, fits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version < c.position {
+		return nil, false
+	}
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+		if old, known := c.records[r.Key]; known && old.Version >= r.Version {
+			continue
+		}
+		c.records[r.Key] = r
+		changed = append(changed, r)
+	}
+	for key, old := range c.records {
+		if listed[key] || old.Removed || old.Version > version {
+			continue
+		}
+		gone := Record{Key: key, Version: version, Removed: true}
+		c.records[key] = gone
+		changed = append(changed, gone)
+	}
+	c.position = version
+	return changed, true
+}
+
+// Rows returns the rows that exist, in order of their keys.
+func (c *Copy) Rows() []Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := make([]Record, 0, len(c.records))
+	for _, r := range c.records {
+		if !r.Removed {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows
+}
--- /dev/null
+++ b/internal/sse/raw.go
@@ -0,0 +1,59 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// RawEvent is one event as it stood on the wire.
+type RawEvent struct {
+	// ID is the value of the id field, empty without one.
+	ID string
+	// Bytes is the whole event with the empty line that ends it. It is valid
+	// until the next call of Next.
+	Bytes []byte
+}
+
+// RawReader splits a stream into events and keeps their bytes as they are.
+type RawReader struct {
+	reader *bufio.Reader
+	event  []byte
+}
+
+// NewRawReader returns a RawReader on r.
+func NewRawReader(r io.Reader) *RawReader {
+	return &RawReader{reader: bufio.NewReaderSize(r, initialBuffer)}
+}
+
+// Next returns the next whole event. It returns io.EOF at a clean end between
+// events and io.ErrUnexpectedEOF when the stream ends inside one.
+func (r *RawReader) Next() (RawEvent, error) {
+	r.event = r.event[:0]
+	event := RawEvent{}
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.event = append(r.event, line...)
+		if len(r.event) > MaxEventBytes {
+			return RawEvent{}, ErrEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(r.event) > 0 {
+			return RawEvent{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return RawEvent{}, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			event.Bytes = r.event
+			return event, nil
+		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			event.ID = string(bytes.TrimSpace(id))
+		}
+	}
+}
--- /dev/null
+++ b/internal/storesync/storesync.go
@@ -0,0 +1,174 @@
+// Package storesync brings copies of the store's tables up to date: from the
+// store by long polling, and from other VMs when the store cannot be reached.
+package storesync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/replica"
+	"github.com/oriolefront/oriolefront/internal/wait"
+)
+
+// ErrHistoryLost reports that the store no longer has the changes asked for;
+// the table must be listed again.
+var ErrHistoryLost = errors.New("the store has dropped the changes asked for; list the table again")
+
+// RefusedError reports that the store refused a call.
+type RefusedError struct {
+	Status int
+	Path   string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the store refused %s with status %d; the call is tried again later", e.Path, e.Status)
+}
+
+// Store is the platform's store.
+type Store interface {
+	// List returns all rows of a table and the store's version.
+	List(ctx context.Context, table string) ([]replica.Record, uint64, error)
+	// Watch waits for changes after a version and returns them. It returns
+	// ErrHistoryLost when they are no longer known.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (replica.Delta, error)
+	// Put writes a row whatever it held before.
+	Put(ctx context.Context, table, key string, value []byte) error
+	// Remove deletes a row.
+	Remove(ctx context.Context, table, key string) error
+}
+
+// Times of the follower.
+const (
+	// watchWait is how long the store may hold a watch without changes. A lost
+	// store is noticed after it and watchGrace.
+	watchWait  = 4 * time.Second
+	watchGrace = time.Second
+	listLimit  = 1500 * time.Millisecond
+	minPause   = 100 * time.Millisecond
+	maxPause   = 1600 * time.Millisecond
+)
+
+// Follower keeps the copy of one table up to date.
+type Follower struct {
+	Store Store
+	Copy  *replica.Copy
+	Log   *slog.Logger
+	// Changed is called with the records that changed.
+	Changed func([]replica.Record)
+	// Reading reports whether this VM reads the store itself. A VM that does
+	// not is kept up to date by others.
+	Reading func() bool
+
+	contact atomic.Pointer[time.Time] // of the last answer; nil before
+	lost    atomic.Bool
+}
+
+// Lost reports whether the last call of the store failed.
+func (f *Follower) Lost() bool { return f.lost.Load() }
+
+// LastContact returns when the store last answered, the zero time if never.
+func (f *Follower) LastContact() time.Time {
+	if at := f.contact.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := minPause
+	listed := false
+	f.lost.Store(false)
+	for ctx.Err() == nil {
+		if listed && !f.Reading() {
+			wait.For(ctx, watchGrace)
+			continue
+		}
+		err := f.step(ctx, &listed)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if f.lost.Swap(false) {
+				f.Log.Info("store regained", "table", f.Copy.Table(), "version", f.Copy.Position())
+			}
+			pause = minPause
+			continue
+		}
+		if !f.lost.Swap(true) {
+			f.Log.Warn("store lost", "table", f.Copy.Table(), "version", f.Copy.Position(), "error", err)
+		}
+		wait.For(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (f *Follower) step(ctx context.Context, listed *bool) error {
+	if !*listed {
+		if err := f.list(ctx); err != nil {
+			return err
+		}
+		*listed = true
+		return nil
+	}
+	err := f.watch(ctx)
+	if errors.Is(err, ErrHistoryLost) {
+		f.Log.Info("the store dropped its history; listing the table", "table", f.Copy.Table(), "version", f.Copy.Position())
+		*listed = false
+		return nil
+	}
+	return err
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	records, version, err := f.Store.List(ctx, f.Copy.Table())
+	if err != nil {
+		return err
+	}
+	f.heard()
+	changed, fits := f.Copy.Replace(records, version)
+	if !fits {
+		return fmt.Errorf("the store listed %s as of version %d, older than the copy at %d", f.Copy.Table(), version, f.Copy.Position())
+	}
+	f.notify(changed)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	delta, err := f.Store.Watch(ctx, f.Copy.Table(), f.Copy.Position(), watchWait)
+	if err != nil {
+		return err
+	}
+	f.heard()
+	f.Merge(delta)
+	return nil
+}
+
+// Merge applies changes that came from the store or from another VM.
+func (f *Follower) Merge(d replica.Delta) {
+	changed, fits := f.Copy.Apply(d)
+	if fits {
+		f.notify(changed)
+	}
+}
+
+func (f *Follower) heard() {
+	now := time.Now()
+	f.contact.Store(&now)
+}
+
+func (f *Follower) notify(changed []replica.Record) {
+	if len(changed) > 0 {
+		f.Changed(changed)
+	}
+}
--- /dev/null
+++ b/internal/topology/view.go
@@ -0,0 +1,104 @@
+package topology
+
+import (
+	"sort"
+	"strings"
+	"sync/atomic"
+)
+
+// View is everything that a request is decided by, as of one moment.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *Config
+	// ZonesOut are the zones whose targets get no new work.
+	ZonesOut map[string]bool
+
+	targets  []*Target
+	usable   map[string][]*Target
+	services map[string]*Service
+	hosts    map[string][]*Route // longest prefix first
+	keys     map[string]*Account
+}
+
+// NewView indexes the parts of a view.
+func NewView(config *Config, targets []*Target, zonesOut map[string]bool) *View {
+	v := &View{
+		Config: config, ZonesOut: zonesOut, targets: targets,
+		usable:   map[string][]*Target{},
+		services: map[string]*Service{},
+		hosts:    map[string][]*Route{},
+		keys:     map[string]*Account{},
+	}
+	for _, t := range targets {
+		if !t.Draining && !zonesOut[t.Zone] {
+			v.usable[t.Service] = append(v.usable[t.Service], t)
+		}
+	}
+	if config != nil {
+		v.indexConfig()
+	}
+	return v
+}
+
+func (v *View) indexConfig() {
+	for i := range v.Config.Services {
+		s := &v.Config.Services[i]
+		v.services[s.Name] = s
+	}
+	for i := range v.Config.Routes {
+		r := &v.Config.Routes[i]
+		v.hosts[r.Host] = append(v.hosts[r.Host], r)
+	}
+	for _, routes := range v.hosts {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].PathPrefix) > len(routes[j].PathPrefix)
+		})
+	}
+	for i := range v.Config.Accounts {
+		a := &v.Config.Accounts[i]
+		for _, key := range a.Keys {
+			v.keys[key] = a
+		}
+	}
+}
+
+// Route returns the route of a request, or nil. The path is as the caller sent
+// it, without the query.
+func (v *View) Route(host, path string) *Route {
+	for _, r := range v.hosts[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the account that holds a key, or nil.
+func (v *View) Account(key string) *Account { return v.keys[key] }
+
+// Service returns a service by name, or nil.
+func (v *View) Service(name string) *Service { return v.services[name] }
+
+// Usable returns the targets of a service that may get new work.
+func (v *View) Usable(service string) []*Target { return v.usable[service] }
+
+// Targets returns all targets, also those that get no new work.
+func (v *View) Targets() []*Target { return v.targets }
+
+// Holder keeps the current view.
+type Holder struct {
+	current atomic.Pointer[View]
+}
+
+// NewHolder returns a holder of an empty view.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.Set(NewView(nil, nil, nil))
+	return h
+}
+
+// Get returns the current view.
+func (h *Holder) Get() *View { return h.current.Load() }
+
+// Set replaces the current view.
+func (h *Holder) Set(v *View) { h.current.Store(v) }
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,343 @@
+// Package upstream sends requests to targets over connections that it keeps. It
+// tells for each failure whether a byte of the request may have reached the
+// target, and never takes bytes for an answer that belong to another request.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/tcp"
+)
+
+// Limits and times of the pool.
+const (
+	// dialTimeout is far above a round trip within a region, and below the time
+	// after which a lost opening packet is sent again.
+	dialTimeout = 400 * time.Millisecond
+	// idleTimeout is how long a connection is kept without a request when the
+	// target names no time.
+	idleTimeout = 4 * time.Second
+	// idleMargin is taken off the time that a target names.
+	idleMargin = 500 * time.Millisecond
+	maxIdle    = 32 // connections kept for one target
+	// Probes end connections whose other side is silently gone.
+	probeIdle     = 1 * time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
+	// maxStale bounds the answers of earlier requests that are skipped.
+	maxStale   = 2
+	readBuffer = 2 << 10 // bytes
+)
+
+// Request is a request to a target.
+type Request struct {
+	Method string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Error is a failure to get an answer.
+type Error struct {
+	Address string
+	// Sent is true when a byte of the request may have reached the target.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	state := "not sent"
+	if e.Sent {
+		state = "sent, no answer"
+	}
+	return fmt.Sprintf("request to %s: %s: %v", e.Address, state, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Errors of exchanges.
+var (
+	errForeignAnswer = errors.New("the target sent answers to other requests only")
+	errSpoiled       = errors.New("connection carries unexpected bytes")
+)
+
+// Pool keeps connections to targets.
+type Pool struct {
+	dialer *net.Dialer
+
+	mu     sync.Mutex
+	idle   map[string][]*conn // by address and target id
+	closed bool
+	// Dialed counts new connections.
+	dialed func()
+}
+
+// NewPool returns an empty pool. dialed is called for each new connection.
+func NewPool(dialed func()) *Pool {
+	dialer := tcp.Dialer()
+	dialer.Timeout = dialTimeout
+	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+	return &Pool{dialer: dialer, idle: map[string][]*conn{}, dialed: dialed}
+}
+
+// conn is one connection to a target.
+type conn struct {
+	net.Conn
+	key     string
+	reader  *bufio.Reader
+	used    int
+	until   time.Time     // when the idle connection is not used any more
+	written chan struct{} // closed when the request has been written
+	failed  error         // of writing; read after written is closed
+}
+
+// Exchange is an answer that is being read. Close must be called.
+type Exchange struct {
+	*http.Response
+	pool *Pool
+	conn *conn
+	stop func() bool
+	done bool
+}
+
+// Do sends a request and returns the head of the answer. mine reports whether an
+// answer's header belongs to this request. fresh forces a new connection. The
+// connection is closed when ctx ends before the answer.
+func (p *Pool) Do(ctx context.Context, key, address string, r Request, fresh bool, mine func(http.Header) bool) (*Exchange, error) {
+	var c *conn
+	if !fresh {
+		c = p.take(key)
+	}
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, key, address); err != nil {
+			return nil, &Error{Address: address, Cause: err}
+		}
+	}
+	c.used++
+	if err := ctx.Err(); err != nil {
+		c.Close()
+		return nil, &Error{Address: address, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	c.send(r)
+	resp, err := c.readHead(r.Method, mine)
+	if err != nil {
+		stop()
+		c.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, &Error{Address: address, Sent: true, Cause: err}
+	}
+	return &Exchange{Response: resp, pool: p, conn: c, stop: stop}, nil
+}
+
+func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.dialed != nil {
+		p.dialed()
+	}
+	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// send writes the request without waiting, because a target may answer before
+// it has read a long body.
+func (c *conn) send(r Request) {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	if err := r.Header.Write(&head); err != nil {
+		panic(err) // a buffer takes every write
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	c.written = make(chan struct{})
+	buffers := net.Buffers{head.Bytes(), r.Body}
+	write := func() {
+		_, c.failed = buffers.WriteTo(c.Conn)
+		close(c.written)
+	}
+	if len(r.Body) <= tcp.BufferBytes {
+		write()
+		return
+	}
+	go write()
+}
+
+// readHead reads the head of the answer and skips late answers to requests that
+// were sent on the connection before.
+func (c *conn) readHead(method string, mine func(http.Header) bool) (*http.Response, error) {
+	for range maxStale + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 200 {
+			continue // an interim answer
+		}
+		if mine(resp.Header) {
+			return resp, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			return nil, errForeignAnswer
+		}
+	}
+	return nil, errForeignAnswer
+}
+
+// Complete ends the exchange after the whole answer was read. The connection is
+// kept if nothing else has arrived on it.
+func (e *Exchange) Complete() {
+	if e.done {
+		return
+	}
+	e.done = true
+	if !e.stop() || !e.reusable() {
+		e.conn.Close()
+		return
+	}
+	e.pool.keep(e.conn, e.Response.Header)
+}
+
+func (e *Exchange) reusable() bool {
+	select {
+	case <-e.conn.written:
+	default:
+		return false
+	}
+	return e.conn.failed == nil && !e.Response.Close && e.conn.reader.Buffered() == 0 &&
+		(e.ContentLength >= 0 || len(e.TransferEncoding) > 0)
+}
+
+// Close ends the exchange; unless it is complete the connection is closed, which
+// makes the target drop the request.
+func (e *Exchange) Close() {
+	if e.done {
+		return
+	}
+	e.done = true
+	e.stop()
+	e.conn.Close()
+}
+
+func (p *Pool) keep(c *conn, h http.Header) {
+	keep := idleTimeout
+	if named, ok := keepAlive(h); ok {
+		keep = min(keep, named-idleMargin)
+	}
+	if keep <= 0 {
+		c.Close()
+		return
+	}
+	c.until = time.Now().Add(keep)
+	p.put(c)
+}
+
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.key]) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
+// take returns the kept connection that was used last and is still sound.
+func (p *Pool) take(key string) *conn {
+	for {
+		p.mu.Lock()
+		list := p.idle[key]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[key] = list[:len(list)-1]
+		p.mu.Unlock()
+		if time.Now().Before(c.until) && c.quiet() == nil {
+			return c
+		}
+		c.Close()
+	}
+}
+
+// quiet reports whether the connection is open and no byte waits on it.
+func (c *conn) quiet() error {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	verdict := errSpoiled
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(recvErr, syscall.EAGAIN) {
+			verdict = nil
+		}
+		return true
+	})
+	return errors.Join(err, verdict)
+}
+
+// Sweep closes idle connections whose time has passed and those to targets that
+// are not in use any more.
+func (p *Pool) Sweep(inUse func(key string) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) && inUse(key) {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		p.idle[key] = kept
+		if len(kept) == 0 {
+			delete(p.idle, key)
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.Sweep(func(string) bool { return false })
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+}
+
+// keepAlive returns the time that a Keep-Alive header names.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		if seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			n, err := strconv.Atoi(seconds)
+			return time.Duration(n) * time.Second, err == nil
+		}
+	}
+	return 0, false
+}
