--- a/cmd/oriolegate/main.go
+++ b/cmd/oriolegate/main.go
@@ -66,10 +66,10 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	return serve(s)
+	return serve(s, *file)
 }
 
-func serve(s *vmsettings.Settings) int {
+func serve(s *vmsettings.Settings, file string) int {
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.Memory.LimitMB) * (1 << 20)))
 	out := logging.NewAsync(os.Stdout)
@@ -80,7 +80,7 @@
 		return 2
 	}
 	p, err := process.New(process.Options{
-		Settings: s, Log: log, Store: platform.NewStore(s.Store.Address),
+		Settings: s, File: file, Log: log, Store: platform.NewStore(s.Store.Address),
 		Tables:  process.Tables{Operator: platform.OperatorTable, Targets: platform.TargetsTable, VMs: ownTable},
 		Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, LogDropped: out.Dropped,
 	})
@@ -90,6 +90,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			p.Reload()
+		}
+	}()
 	if err := p.Run(ctx); err != nil {
 		log.Error("process failed", "error", err)
 		return 1
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -19,7 +19,7 @@
 
 // RetryBudget keeps this VM's part of the limits for each service.
 type RetryBudget struct {
-	limits RetryLimits
+	limits func() RetryLimits
 	vms    func() int
 
 	mu       sync.Mutex
@@ -35,8 +35,8 @@
 const windowSlices = 10
 
 // NewRetryBudget returns a budget; vms tells how many VMs share the slack.
-func NewRetryBudget(l RetryLimits, vms func() int) *RetryBudget {
-	return &RetryBudget{limits: l, vms: vms, services: map[string]*retryWindow{}}
+func NewRetryBudget(limits func() RetryLimits, vms func() int) *RetryBudget {
+	return &RetryBudget{limits: limits, vms: vms, services: map[string]*retryWindow{}}
 }
 
 // OnRequest counts a request of a caller.
@@ -57,7 +57,8 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := safeShare * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(b.vms(), 1)))
+	l := b.limits()
+	allowed := safeShare * (l.Ratio*float64(requests) + l.Slack/float64(max(b.vms(), 1)))
 	if float64(repeats+1) > allowed {
 		return false
 	}
@@ -72,7 +73,7 @@
 		w = &retryWindow{}
 		b.services[service] = w
 	}
-	now := int64(time.Since(processStart) / (b.limits.Window / windowSlices))
+	now := int64(time.Since(processStart) / (b.limits().Window / windowSlices))
 	for s := max(w.slice+1, now-windowSlices+1); s <= now; s++ {
 		w.requests[s%windowSlices] = 0
 		w.repeats[s%windowSlices] = 0
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -65,7 +65,11 @@
 
 // Process is one entry VM's process.
 type Process struct {
-	settings *vmsettings.Settings
+	// settings holds what is in force; addresses stay as at the start.
+	settings atomic.Pointer[vmsettings.Settings]
+	file     string
+	listens  vmsettings.Listen
+	vm       vmsettings.VM
 	log      *slog.Logger
 	store    storesync.Store
 	tables   Tables
@@ -91,6 +95,8 @@
 // Options are what a Process needs from outside.
 type Options struct {
 	Settings *vmsettings.Settings
+	// File is read again on Reload and when it has changed.
+	File     string
 	Log      *slog.Logger
 	Store    storesync.Store
 	Tables   Tables
@@ -102,8 +108,9 @@
 
 // New builds a process.
 func New(o Options) (*Process, error) {
-	p := &Process{settings: o.Settings, log: o.Log, store: o.Store, tables: o.Tables,
+	p := &Process{file: o.File, listens: o.Settings.Listen, vm: o.Settings.VM, log: o.Log, store: o.Store, tables: o.Tables,
 		holder: topology.NewHolder(), board: inflight.New(), health: forward.NewHealth(), metrics: metrics.NewSet()}
+	p.settings.Store(o.Settings)
 	p.views = newViews(o.Log, o.Decoder, p.holder, p.unsettled)
 	reading := func() bool { return p.reading() }
 	p.operator = &storesync.Follower{Store: o.Store, Copy: replica.New(o.Tables.Operator), Log: o.Log, Changed: p.operatorChanged, Reading: reading}
@@ -121,11 +128,9 @@
 	p.board.Changed = mesh.Wake
 	dialed := p.metrics.NewCounter("oriole_target_connections_total")
 	p.pool = upstream.NewPool(dialed.Inc)
-	r := o.Settings.Retries
 	p.handler = &forward.Handler{
 		Views: p.holder, Protocol: o.Protocol, Pool: p.pool, Board: p.board, Health: p.health, Log: o.Log,
-		Budget: forward.NewRetryBudget(forward.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()},
-			func() int { return mesh.Status().VMs }),
+		Budget:  forward.NewRetryBudget(p.retryLimits, func() int { return mesh.Status().VMs }),
 		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load,
 	}
 	p.handler.Init()
@@ -143,6 +148,11 @@
 	}
 }
 
+func (p *Process) retryLimits() forward.RetryLimits {
+	r := p.settings.Load().Retries
+	return forward.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}
+}
+
 // merge takes changes that another VM has sent.
 func (p *Process) merge(d replica.Delta) {
 	for _, f := range []*storesync.Follower{p.operator, p.targets} {
@@ -175,7 +185,7 @@
 // zone that reach it, or does not hear them.
 func (p *Process) reading() bool {
 	s := p.mesh.Status()
-	at := slices.Index(s.Readers, p.settings.VM.Name)
+	at := slices.Index(s.Readers, p.vm.Name)
 	return at < readersPerZone
 }
 
@@ -194,9 +204,9 @@
 	if err := p.listen(failures); err != nil {
 		return err
 	}
-	p.log.Info("started", "vm", p.settings.VM.Name, "zone", p.settings.VM.Zone, "callers", p.settings.Listen.Callers)
+	p.log.Info("started", "vm", p.vm.Name, "zone", p.vm.Zone, "callers", p.listens.Callers)
 	var tasks sync.WaitGroup
-	for _, task := range []func(context.Context){p.operator.Run, p.targets.Run, p.mesh.Run, p.join, p.tick} {
+	for _, task := range []func(context.Context){p.operator.Run, p.targets.Run, p.mesh.Run, p.join, p.tick, p.followFile} {
 		tasks.Go(func() { task(background) })
 	}
 	var err error
@@ -210,7 +220,7 @@
 }
 
 func (p *Process) listen(failures chan<- error) error {
-	listener, err := tcp.Listen(context.Background(), p.settings.Listen.Callers)
+	listener, err := tcp.Listen(context.Background(), p.listens.Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -226,7 +236,7 @@
 	for _, s := range []struct {
 		server  *http.Server
 		address string
-	}{{p.readiness, p.settings.Listen.Readiness}, {p.observers, p.settings.Listen.Metrics}} {
+	}{{p.readiness, p.listens.Readiness}, {p.observers, p.listens.Metrics}} {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return fmt.Errorf("listen at %s: %w", s.address, err)
@@ -315,11 +325,11 @@
 // addSeeds adds the VMs that the settings name. Their datagram port is the same
 // as here.
 func (p *Process) addSeeds() {
-	own, err := netip.ParseAddrPort(p.settings.Listen.Datagrams)
+	own, err := netip.ParseAddrPort(p.listens.Datagrams)
 	if err != nil {
 		return // checked with the settings
 	}
-	for _, seed := range p.settings.Peers.Seeds {
+	for _, seed := range p.settings.Load().Peers.Seeds {
 		if a, err := netip.ParseAddrPort(seed); err == nil {
 			p.mesh.Add(netip.AddrPortFrom(a.Addr(), own.Port()).String())
 		}
@@ -329,11 +339,11 @@
 func (p *Process) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallLimit)
 	defer cancel()
-	row, err := json.Marshal(vmRow{Datagrams: p.settings.Listen.Datagrams, Links: p.settings.Listen.Links, Zone: p.settings.VM.Zone})
+	row, err := json.Marshal(vmRow{Datagrams: p.listens.Datagrams, Links: p.listens.Links, Zone: p.vm.Zone})
 	if err != nil {
 		return fmt.Errorf("encode the VM's row: %w", err)
 	}
-	if err := p.store.Put(ctx, p.tables.VMs, p.settings.VM.Name, row); err != nil {
+	if err := p.store.Put(ctx, p.tables.VMs, p.vm.Name, row); err != nil {
 		return fmt.Errorf("write the VM's row: %w", err)
 	}
 	rows, _, err := p.store.List(ctx, p.tables.VMs)
@@ -356,7 +366,7 @@
 // stop ends the process gracefully: readiness ends first, new connections are
 // taken until the balancer has noticed, and requests are served to their end.
 func (p *Process) stop() {
-	grace := p.settings.Stop.Grace.Std() - stopReserve
+	grace := p.settings.Load().Stop.Grace.Std() - stopReserve
 	p.log.Info("stopping", "active", p.handler.Active(), "grace", grace)
 	p.stopping.Store(true)
 	p.handler.Stop()
