Place requests by a prediction over all VMs' work in flight

Cause of late short questions: requests waited for a slot on engines that were full. The wait is now predicted from the mean time of an answer.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -29,6 +29,8 @@
 	// failure is a target's own failure, kept in case no other target succeeds.
 	failure *wholeAnswer
 	out     *output
+	// reservations counts the names given to reservations.
+	reservations int
 }
 
 // wholeAnswer is an answer that was read whole.
@@ -48,14 +50,6 @@
 	return c.account.Name
 }
 
-// priority returns the rank of the request: that of the account goes first.
-func (c *call) priority() int {
-	if c.account != nil && c.account.Ranked {
-		return c.account.Priority
-	}
-	return c.route.Priority
-}
-
 // output is the caller's side of an answer.
 type output struct {
 	w       http.ResponseWriter
@@ -65,6 +59,11 @@
 	// last is the id of the last event written, and events their number.
 	last   string
 	events int
+	// firstAt is when the first event was written after the call's arrival;
+	// longest is the longest pause after it, and lastAt the time of the last one.
+	firstAt time.Duration
+	longest time.Duration
+	lastAt  time.Time
 	// failed is the error of a write: the caller has gone or does not read.
 	failed error
 }
@@ -97,6 +96,22 @@
 	}
 }
 
+// event writes an event of a stream and notes when.
+func (o *output) event(p []byte, id string, arrived time.Time) {
+	now := time.Now()
+	if o.events == 0 {
+		o.firstAt = now.Sub(arrived)
+	} else {
+		o.longest = max(o.longest, now.Sub(o.lastAt))
+	}
+	o.lastAt = now
+	o.write(p)
+	o.events++
+	if id != "" {
+		o.last = id
+	}
+}
+
 // whole writes an answer that was read whole.
 func (o *output) whole(a *wholeAnswer) {
 	o.head(a.status, a.header)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -38,6 +38,9 @@
 	Budget   *RetryBudget
 	Log      *slog.Logger
 	Metrics  *Metrics
+	// Zone is that of this VM; Instance tells its starts apart.
+	Zone     string
+	Instance string
 	// Isolated reports whether the VM knows too little to start new work.
 	Isolated func() bool
 
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -36,7 +36,7 @@
 
 // Note takes the outcome of a try.
 func (h *Health) Note(target string, o outcome, _ time.Duration) {
-	if o == callerGone {
+	if o == callerGone || o == noRoom {
 		return
 	}
 	now := time.Now()
@@ -89,6 +89,8 @@
 	Avoid bool
 	// Gone is true for a target that exists no more.
 	Gone bool
+	// Pace is the factor by which the target is slower than usual.
+	Pace float64
 }
 
 // Verdict returns the judgement of a target at a moment.
@@ -97,9 +99,9 @@
 	defer h.mu.Unlock()
 	t := h.targets[target]
 	if t == nil {
-		return Verdict{}
+		return Verdict{Pace: 1}
 	}
-	return Verdict{FailRate: t.rate(now), Avoid: now.Before(t.avoidTill), Gone: t.gone}
+	return Verdict{FailRate: t.rate(now), Avoid: now.Before(t.avoidTill), Gone: t.gone, Pace: 1}
 }
 
 // Retain forgets the targets that are not in use any more.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -31,3 +31,6 @@
 
 // FirstEvent notes the time to the first event of a stream.
 func (m *Metrics) FirstEvent(d time.Duration) { m.firstEvent.Update(d.Seconds()) }
+
+// Order counts an order to an engine.
+func (m *Metrics) Order() { m.set.GetOrCreateCounter("oriole_orders_total").Inc() }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -2,33 +2,158 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/placement"
 	"github.com/oriolefront/oriolefront/internal/topology"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
-// place chooses a target for the call.
-func (h *Handler) place(_ context.Context, c *call) (*topology.Target, *refusal) {
-	view := h.Views.Get()
-	loads := h.Board.ByTarget()
+// Times of the wait for a place.
+const (
+	// placeInterval is the time between two looks for an engine with room.
+	placeInterval = 20 * time.Millisecond
+	// holdShare is the part of the objective for which a request is held when no
+	// engine has room.
+	holdShare = 0.8
+)
+
+// destination is where a try goes.
+type destination struct {
+	target *topology.Target
+	// plan is set for engines.
+	plan *placement.Plan
+	// firstEvent is when the first event or the answer is due.
+	firstEvent time.Duration
+}
+
+// place chooses where the call is sent next. It waits while no engine has room,
+// as long as the request can still be served.
+func (h *Handler) place(ctx context.Context, c *call) (*destination, *refusal) {
+	for {
+		view := h.Views.Get()
+		service := view.Service(c.service)
+		targets := h.candidates(view, c)
+		if len(targets) == 0 {
+			return nil, refuseNoTarget
+		}
+		if service == nil || service.Engine == nil || c.meta.PromptTokens == 0 {
+			return h.placePlain(targets, c)
+		}
+		d, f := h.placeEngine(service.Engine, targets, c)
+		if d != nil || !h.mayHold(c, f) {
+			return d, f
+		}
+		if !wait.For(ctx, placeInterval) {
+			return nil, f
+		}
+	}
+}
+
+// mayHold reports whether a request that found no room is held.
+func (h *Handler) mayHold(c *call, f *refusal) bool {
+	if f != refuseBusy {
+		return false
+	}
+	hold := time.Duration(holdShare * float64(c.route.Objective))
+	return time.Since(c.arrived) < hold && c.left() > placeInterval
+}
+
+// candidates returns the usable targets that still exist.
+func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
 	now := time.Now()
-	var best *topology.Target
-	bestScore := 0.0
+	var targets []*topology.Target
 	for _, t := range view.Usable(c.service) {
-		v := h.Health.Verdict(t.ID, now)
-		if c.tried[t.ID] || v.Gone {
-			continue
+		if !c.tried[t.ID] && !h.Health.Verdict(t.ID, now).Gone {
+			targets = append(targets, t)
 		}
-		score := float64(len(loads[t.ID]))/float64(t.Slots) + 2*v.FailRate
+	}
+	return targets
+}
+
+// Weights of the choice of a plain target.
+const (
+	plainFailCost  = 2.0
+	plainAvoidCost = 10.0
+	plainAwayCost  = 0.05
+)
+
+// placePlain chooses the target with the fewest requests for its slots.
+func (h *Handler) placePlain(targets []*topology.Target, c *call) (*destination, *refusal) {
+	loads := h.Board.Loads()
+	now := time.Now()
+	var best *topology.Target
+	bestCost := 0.0
+	for _, t := range targets {
+		v := h.Health.Verdict(t.ID, now)
+		cost := float64(len(loads.Of(t.ID).Items))/float64(t.Slots) + plainFailCost*v.FailRate
 		if v.Avoid {
-			score += 10
+			cost += plainAvoidCost
+		}
+		if t.Zone != h.Zone {
+			cost += plainAwayCost
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
 		}
 	}
-	if best == nil {
-		return nil, refuseNoTarget
+	return &destination{target: best, firstEvent: c.route.Objective}, nil
+}
+
+// placeEngine chooses an engine, and helpers for a long prompt.
+func (h *Handler) placeEngine(model *topology.EngineModel, targets []*topology.Target, c *call) (*destination, *refusal) {
+	if c.meta.PromptTokens+c.meta.AnswerTokens > len(targets)*model.MemoryTokens {
+		return nil, refuseNeverFits
+	}
+	engines := h.engines(targets)
+	plan, ok := placement.Choose(model, engines, placement.Job{
+		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.AnswerTokens,
+		PauseLimit: c.route.PauseLimit, Objective: c.route.Objective - time.Since(c.arrived), Left: c.left(),
+	})
+	if !ok {
+		return nil, refuseBusy
+	}
+	if plan.FirstEvent > c.left() {
+		return nil, refuseBusy
+	}
+	return &destination{target: plan.Target, plan: &plan, firstEvent: plan.FirstEvent}, nil
+}
+
+// engines describes the engines among which to choose.
+func (h *Handler) engines(targets []*topology.Target) []placement.Engine {
+	loads := h.Board.Loads()
+	now := time.Now()
+	engines := make([]placement.Engine, 0, len(targets))
+	for _, t := range targets {
+		v := h.Health.Verdict(t.ID, now)
+		load := loads.Of(t.ID)
+		engines = append(engines, placement.Engine{
+			Target: t, Items: load.Items, Parts: load.Parts, Pace: v.Pace,
+			FailRate: v.FailRate, Avoid: v.Avoid, Away: t.Zone != h.Zone,
+			Full: t.Cold(now) && h.coldFull(t, load, now),
+		})
+	}
+	return engines
+}
+
+// coldFull reports whether a cold target has got all the requests of the last
+// second that it bears, as far as this VM knows.
+func (h *Handler) coldFull(t *topology.Target, load inflight.Load, _ time.Time) bool {
+	service := h.Views.Get().Service(t.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return false
 	}
-	return best, nil
+	recent := 0
+	for _, i := range slices.Concat(load.Items, load.Parts) {
+		if i.Age < time.Second {
+			recent++
+		}
+	}
+	return float64(recent) >= coldShare*service.ColdRate
 }
+
+// coldShare is the part of a cold target's rate that is used: VMs do not know
+// of each other's latest requests, and of those that have ended.
+const coldShare = 0.5
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -64,4 +64,15 @@
 	SetRequestID(h http.Header, id string)
 	// Helper formats a helper of a split prompt.
 	Helper(address, reservation string) string
+	// Reserve returns the order that reserves memory of an engine, or renews a
+	// reservation. Release returns the one that ends it.
+	Reserve(target, reservation string, tokens int, hold time.Duration) Order
+	Release(target, reservation string) Order
+}
+
+// Order is an order to an engine.
+type Order struct {
+	URI    string
+	Header http.Header
+	Body   []byte
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -20,7 +20,6 @@
 var (
 	refuseNoConfig   = &refusal{http.StatusServiceUnavailable, "no configuration is known yet; try again", 500 * time.Millisecond}
 	refuseIsolated   = &refusal{http.StatusServiceUnavailable, "this VM reaches neither the store nor another VM; try again", 300 * time.Millisecond}
-	refuseStopping   = &refusal{http.StatusServiceUnavailable, "this VM is stopping; try again", 100 * time.Millisecond}
 	refuseNoRoute    = &refusal{http.StatusNotFound, "no route matches the host and path", 0}
 	refuseKey        = &refusal{http.StatusUnauthorized, "the key is missing or unknown", 0}
 	refuseTooLarge   = &refusal{http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration", 0}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/placement"
 	"github.com/oriolefront/oriolefront/internal/sse"
 	"github.com/oriolefront/oriolefront/internal/topology"
 	"github.com/oriolefront/oriolefront/internal/upstream"
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // outcome says how one try at a target ended.
@@ -25,9 +27,10 @@
 	failed                    // the target answered with a failure
 	lost                      // the target may have worked on the request
 	callerGone                // nobody waits for the answer
+	noRoom                    // memory for a split prompt could not be reserved
 )
 
-var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone"}
+var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room"}
 
 // String implements fmt.Stringer.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -39,15 +42,24 @@
 // serve tries targets until the call is answered.
 func (h *Handler) serve(ctx context.Context, c *call) {
 	for {
-		target, f := h.place(ctx, c)
-		if target == nil {
+		d, f := h.place(ctx, c)
+		if d == nil {
 			h.end(ctx, c, f)
 			return
 		}
-		c.tried[target.ID] = true
-		o, err := h.try(ctx, c, target)
-		h.Log.Info("try ended", "request", c.meta.ID, "target", target.ID, "service", c.service, "outcome", o.String(),
-			"after", time.Since(c.arrived).Round(time.Millisecond), "events", c.out.events, "error", err)
+		h.logPlan(c, d)
+		o, err := h.try(ctx, c, d)
+		if o == noRoom {
+			if !wait.For(ctx, placeInterval) {
+				h.end(ctx, c, refuseBusy)
+				return
+			}
+			continue
+		}
+		c.tried[d.target.ID] = true
+		h.Log.Info("try ended", "request", c.meta.ID, "target", d.target.ID, "service", c.service, "outcome", o.String(),
+			"after", time.Since(c.arrived).Round(time.Millisecond), "events", c.out.events,
+			"first", c.out.firstAt.Round(time.Millisecond), "longest_pause", c.out.longest.Round(time.Millisecond), "error", err)
 		if o == delivered || o == callerGone {
 			h.Metrics.Ended(c.route.Kind.String(), o, time.Since(c.arrived))
 			return
@@ -108,35 +120,91 @@
 	}
 }
 
+// logPlan writes why a call goes where it goes.
+func (h *Handler) logPlan(c *call, d *destination) {
+	reason := "least loaded"
+	if d.plan != nil {
+		reason = d.plan.String()
+	}
+	h.Log.Info("placed", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(), "target", d.target.ID,
+		"prompt", c.meta.PromptTokens, "answer", c.meta.AnswerTokens, "left", c.left().Round(time.Millisecond), "reason", reason)
+}
+
 // try sends the call to one target.
-func (h *Handler) try(ctx context.Context, c *call, target *topology.Target) (outcome, error) {
+func (h *Handler) try(ctx context.Context, c *call, d *destination) (outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	running := h.Board.Start(inflight.Job{
-		Target: target.ID, PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.AnswerTokens,
+	job := inflight.Job{
+		Target: d.target.ID, PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.AnswerTokens,
 		PauseLimit: c.route.PauseLimit,
-	})
+	}
+	var helpers []string
+	if d.plan != nil {
+		job.Helpers, job.Reserved = targetIDs(d.plan.Helpers), d.plan.Reserve > 0
+	}
+	running := h.Board.Start(job)
 	defer running.Done()
+	if d.plan != nil && len(d.plan.Helpers) > 0 {
+		reserved, names, err := h.prepareHelpers(ctx, c, d.plan)
+		if err != nil {
+			return noRoom, err
+		}
+		if reserved != nil {
+			defer reserved.release()
+		}
+		helpers = names
+	}
 	started := time.Now()
-	e, err := h.Pool.Do(ctx, target.ID, target.Address, h.outgoing(c, target), c.route.Kind == topology.Once, func(header http.Header) bool {
+	watch := newWatch(cancel, firstEventLimit(c, d))
+	defer watch.stop()
+	e, err := h.Pool.Do(ctx, d.target.ID, d.target.Address, h.outgoing(c, d.target, helpers), c.route.Kind == topology.Once, func(header http.Header) bool {
 		id := h.Protocol.Answer(0, header).ID
 		return id == "" || id == c.meta.ID
 	})
 	if err != nil {
-		return h.noAnswer(ctx, c, target, err)
+		return h.noAnswer(ctx, c, d.target, err)
 	}
 	defer e.Close()
 	c.sent++
 	a := h.Protocol.Answer(e.StatusCode, e.Header)
-	o, err := h.relay(ctx, c, target, e, a, running)
-	h.Health.Note(target.ID, o, time.Since(started))
+	o, err := h.relay(ctx, c, d.target, e, a, running, watch)
+	h.Health.Note(d.target.ID, o, time.Since(started))
 	return o, err
 }
 
+func targetIDs(targets []*topology.Target) []string {
+	var ids []string
+	for _, t := range targets {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+// prepareHelpers reserves what the plan needs and names the helpers for the
+// target.
+func (h *Handler) prepareHelpers(ctx context.Context, c *call, plan *placement.Plan) (*reservation, []string, error) {
+	var names []string
+	if plan.Reserve == 0 {
+		for _, t := range plan.Helpers {
+			names = append(names, h.Protocol.Helper(t.Address, ""))
+		}
+		return nil, names, nil
+	}
+	r, err := h.reserve(ctx, c, plan)
+	if err != nil {
+		h.Log.Info("memory not reserved", "request", c.meta.ID, "error", err)
+		return nil, nil, err
+	}
+	for _, t := range r.targets {
+		names = append(names, h.Protocol.Helper(t.Address, r.id))
+	}
+	return r, names, nil
+}
+
 // outgoing builds the request for a target.
-func (h *Handler) outgoing(c *call, target *topology.Target) upstream.Request {
+func (h *Handler) outgoing(c *call, target *topology.Target, helpers []string) upstream.Request {
 	left := max(c.left(), time.Millisecond)
-	s := Send{Left: left, Target: target.ID, Account: c.accountName(), Urgency: -1, LastEvent: c.out.last}
+	s := Send{Left: left, Target: target.ID, Account: c.accountName(), Urgency: -1, LastEvent: c.out.last, Helpers: helpers}
 	return upstream.Request{
 		Method: c.request.Method, URI: c.request.URL.RequestURI(), Host: c.request.Host,
 		Header: h.Protocol.Outgoing(c.request.Header, s), Body: c.body,
@@ -161,7 +229,7 @@
 }
 
 // relay passes an answer on.
-func (h *Handler) relay(ctx context.Context, c *call, target *topology.Target, e *upstream.Exchange, a Answer, running *inflight.Running) (outcome, error) {
+func (h *Handler) relay(ctx context.Context, c *call, target *topology.Target, e *upstream.Exchange, a Answer, running *inflight.Running, watch *watch) (outcome, error) {
 	if a.NotRun {
 		if _, err := io.Copy(io.Discard, io.LimitReader(e.Body, bufferedAnswer)); err == nil {
 			e.Complete()
@@ -179,7 +247,7 @@
 		return lost, errors.New("the target's success bears no signature")
 	}
 	if success && strings.HasPrefix(e.Header.Get("Content-Type"), "text/event-stream") {
-		return h.relayEvents(ctx, c, e, running)
+		return h.relayEvents(ctx, c, e, running, watch)
 	}
 	return h.relayWhole(c, e, success)
 }
@@ -234,7 +302,7 @@
 
 // relayEvents passes on the whole events of a stream. The head goes out with
 // the first event, so that until then another target can answer instead.
-func (h *Handler) relayEvents(ctx context.Context, c *call, e *upstream.Exchange, running *inflight.Running) (outcome, error) {
+func (h *Handler) relayEvents(ctx context.Context, c *call, e *upstream.Exchange, running *inflight.Running, watch *watch) (outcome, error) {
 	events := sse.NewRawReader(e.Body)
 	for {
 		event, err := events.Next()
@@ -249,9 +317,10 @@
 			if c.request.Context().Err() != nil {
 				return callerGone, err
 			}
-			return lost, err
+			return lost, errors.Join(err, context.Cause(ctx))
 		}
 		running.FirstEvent()
+		watch.reset(pauseLimit(c))
 		if event.ID != "" && !newer(event.ID, c.out.last) {
 			continue
 		}
@@ -259,14 +328,10 @@
 			h.Metrics.FirstEvent(time.Since(c.arrived))
 			c.out.head(e.StatusCode, h.Protocol.AnswerHeader(e.Header))
 		}
-		c.out.write(event.Bytes)
+		c.out.event(event.Bytes, event.ID, c.arrived)
 		if c.out.failed != nil {
 			return callerGone, c.out.failed
 		}
-		c.out.events++
-		if event.ID != "" {
-			c.out.last = event.ID
-		}
 	}
 }
 
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -14,12 +14,13 @@
 	Target string
 	// Helpers are further engines that read parts of the prompt.
 	Helpers []string
+	// Reserved is true when each of these engines keeps its part of the prompt.
+	Reserved bool
 	// PromptTokens and AnswerTokens are 0 for plain services.
 	PromptTokens int
 	AnswerTokens int
 	// PauseLimit is the longest pause between events on time.
 	PauseLimit time.Duration
-	Worth      float64
 }
 
 // Item is a job as seen at one moment.
@@ -121,15 +122,50 @@
 	b.peers[name] = peerJobs{items: items, at: time.Now()}
 }
 
-// ByTarget returns the jobs of all VMs by target. A job with helpers is listed
-// at its target alone.
-func (b *Board) ByTarget() map[string][]Item {
+// Load is what all VMs have in flight at one target.
+type Load struct {
+	Items []Item
+	// Parts are jobs at other targets of whose prompts this one reads a part.
+	Parts []Item
+}
+
+// Loads maps targets to their load.
+type Loads map[string]*Load
+
+// Of returns the load of a target.
+func (l Loads) Of(target string) Load {
+	if load := l[target]; load != nil {
+		return *load
+	}
+	return Load{}
+}
+
+func (l Loads) at(target string) *Load {
+	load := l[target]
+	if load == nil {
+		load = &Load{}
+		l[target] = load
+	}
+	return load
+}
+
+func (l Loads) add(i Item) {
+	at := l.at(i.Target)
+	at.Items = append(at.Items, i)
+	for _, helper := range i.Helpers {
+		at := l.at(helper)
+		at.Parts = append(at.Parts, i)
+	}
+}
+
+// Loads returns the jobs of all VMs by target.
+func (b *Board) Loads() Loads {
 	now := time.Now()
-	loads := map[string][]Item{}
+	loads := Loads{}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for r := range b.own {
-		loads[r.job.Target] = append(loads[r.job.Target], r.item(now))
+		loads.add(r.item(now))
 	}
 	for _, p := range b.peers {
 		lag := now.Sub(p.at)
@@ -138,7 +174,7 @@
 			if i.Writing {
 				i.WritingFor += lag
 			}
-			loads[i.Target] = append(loads[i.Target], i)
+			loads.add(i)
 		}
 	}
 	return loads
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -43,13 +43,13 @@
 
 // jobMessage is an inflight.Item on the wire; times are in milliseconds.
 type jobMessage struct {
-	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // option of the codec
+	_msgpack   struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads this option
 	Target     string
 	Helpers    []string
 	Prompt     int
 	Answer     int
 	PauseMs    int32
-	Worth      float32
+	Reserved   bool
 	AgeMs      int32
 	Writing    bool
 	WritingFor int32
@@ -60,7 +60,7 @@
 	for _, i := range items {
 		jobs = append(jobs, jobMessage{
 			Target: i.Target, Helpers: i.Helpers, Prompt: i.PromptTokens, Answer: i.AnswerTokens,
-			PauseMs: int32(i.PauseLimit.Milliseconds()), Worth: float32(i.Worth), AgeMs: int32(i.Age.Milliseconds()),
+			PauseMs: int32(i.PauseLimit.Milliseconds()), Reserved: i.Reserved, AgeMs: int32(i.Age.Milliseconds()),
 			Writing: i.Writing, WritingFor: int32(i.WritingFor.Milliseconds()),
 		})
 	}
@@ -73,7 +73,7 @@
 		items = append(items, inflight.Item{
 			Job: inflight.Job{
 				Target: j.Target, Helpers: j.Helpers, PromptTokens: j.Prompt, AnswerTokens: j.Answer,
-				PauseLimit: time.Duration(j.PauseMs) * time.Millisecond, Worth: float64(j.Worth),
+				PauseLimit: time.Duration(j.PauseMs) * time.Millisecond, Reserved: j.Reserved,
 			},
 			Age:     time.Duration(j.AgeMs) * time.Millisecond,
 			Writing: j.Writing, WritingFor: time.Duration(j.WritingFor) * time.Millisecond,
--- /dev/null
+++ b/internal/placement/engine.go
@@ -0,0 +1,135 @@
+// Package placement chooses the engine of a request, and the engines that help
+// to read its prompt. A choice is a pure function of what all VMs have in
+// flight: it weighs the newcomer's time to its first event against the pauses
+// that its reading makes in the streams already there.
+package placement
+
+import (
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/enginemodel"
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/topology"
+)
+
+// Engine is what is known of one engine.
+type Engine struct {
+	Target *topology.Target
+	// Items are the requests of all VMs on the engine, Parts the parts of other
+	// engines' prompts that it reads.
+	Items []inflight.Item
+	Parts []inflight.Item
+	// Pace is the factor by which the engine is slower than its model; 1 when
+	// nothing is known.
+	Pace float64
+	// FailRate estimates the share of requests that fail there.
+	FailRate float64
+	// Avoid is true when the engine did not answer lately, Tried when this
+	// request was sent to it.
+	Avoid bool
+	Tried bool
+	// Full is true when the engine is cold and has all that it bears.
+	Full bool
+	// Away is true in another zone than this VM's.
+	Away bool
+}
+
+// Job is the request to place.
+type Job struct {
+	PromptTokens int
+	AnswerTokens int
+	// PauseLimit and Objective are the longest pause and the longest time to
+	// the first event on time; Left is the time until the deadline.
+	PauseLimit time.Duration
+	Objective  time.Duration
+	Left       time.Duration
+}
+
+// tokensPerWeight is the prompt size that adds 1 to the weight of a request.
+const tokensPerWeight = 10_000
+
+// Weight returns what an answer on time is worth, relative to others: long
+// prompts cost their callers more.
+func Weight(promptTokens int) float64 { return 1 + float64(promptTokens)/tokensPerWeight }
+
+// load summarises an engine.
+type load struct {
+	Engine
+	pass    time.Duration // without reading
+	backlog time.Duration // reading that is left
+	memory  int           // tokens in use or promised
+	free    int           // slots
+	// strict counts the streams with a short pause limit.
+	strict int
+	// slotWait is the time until a slot is free.
+	slotWait time.Duration
+}
+
+// strictPause is the pause limit up to which a stream suffers from the reading
+// of a medium prompt.
+const strictPause = 400 * time.Millisecond
+
+func summarise(m *topology.EngineModel, e Engine) load {
+	l := load{Engine: e, free: m.Slots - len(e.Items)}
+	l.Pace = max(l.Pace, 1)
+	writers, context := 0, 0
+	var readers []enginemodel.Reader
+	for _, i := range e.Items {
+		share := shares(i)
+		l.memory += memoryAtTarget(i)
+		if i.PauseLimit > 0 && i.PauseLimit < strictPause {
+			l.strict++
+		}
+		if i.Writing {
+			writers++
+			context += i.PromptTokens / share
+			continue
+		}
+		readers = append(readers, enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)})
+	}
+	for _, i := range e.Parts {
+		share := shares(i)
+		if i.Reserved {
+			l.memory += i.PromptTokens / share
+		}
+		if i.Writing {
+			context += i.PromptTokens / share
+			continue
+		}
+		readers = append(readers, enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)})
+	}
+	l.pass = l.paced(enginemodel.Pass(m, max(writers, 1), context))
+	l.backlog = enginemodel.Backlog(readers)
+	if l.free <= 0 {
+		l.slotWait = slotWait(m, l, 1-l.free)
+	}
+	return l
+}
+
+// shares returns the number of engines that read a prompt.
+func shares(i inflight.Item) int { return len(i.Helpers) + 1 }
+
+// memoryAtTarget returns the memory that a request takes at its own engine.
+func memoryAtTarget(i inflight.Item) int {
+	prompt := i.PromptTokens
+	if i.Reserved {
+		prompt /= shares(i)
+	}
+	return prompt + i.AnswerTokens
+}
+
+func (l load) paced(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * l.Pace)
+}
+
+// slotWait estimates when the nth slot from now is free: answers end at random
+// moments, and one slot comes free in the mean time of an answer divided by the
+// slots.
+func slotWait(m *topology.EngineModel, l load, nth int) time.Duration {
+	var whole time.Duration
+	for _, i := range l.Items {
+		whole += time.Duration(enginemodel.Events(m, i.AnswerTokens)) * l.pass
+	}
+	mean := whole / time.Duration(len(l.Items))
+	return mean * time.Duration(nth) / time.Duration(m.Slots)
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,244 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/enginemodel"
+	"github.com/oriolefront/oriolefront/internal/topology"
+)
+
+// Weights of a choice, in units of a small request that ends late.
+const (
+	// lateShare is the part of a request's worth that is lost when it is late.
+	lateShare = 0.75
+	// A pause counts as late from rampStart to rampEnd of its limit, rising: the
+	// prediction is not exact.
+	rampStart = 0.75
+	rampEnd   = 1.05
+	// openCost keeps short streams off engines that have none yet, so that long
+	// prompts find engines where their reading harms nobody.
+	openCost = 0.25
+	// crowdCost spreads long prompts, and fillGain packs short streams.
+	crowdCost = 0.03
+	fillGain  = 0.01
+	// helperCost is the overhead of one more engine that reads a prompt.
+	helperCost = 0.03
+	// delayCost is what a second of waiting costs, also within the objective.
+	delayCost = 0.4
+	// readerDelayCost is what delaying another prompt's reading by a second
+	// costs.
+	readerDelayCost = 0.5
+	// failCost and avoidCost keep requests off engines that fail.
+	failCost  = 3
+	avoidCost = 6
+	awayCost  = 0.01
+	// minPart is the shortest part, in tokens, that is worth a helper.
+	minPart = 8_000
+	// memoryReserve is left free of an engine's memory, as a share.
+	memoryReserve = 0.04
+)
+
+// helperCounts are the numbers of helpers that are weighed.
+var helperCounts = []int{0, 1, 2, 3, 4, 5, 7, 9, 11, 13, 15}
+
+// Plan is a choice.
+type Plan struct {
+	Target  *topology.Target
+	Helpers []*topology.Target
+	// Reserve is the memory to reserve at the target and at each helper, in
+	// tokens; 0 when the prompt fits the target alone.
+	Reserve int
+	// FirstEvent is the predicted time to the first event.
+	FirstEvent time.Duration
+	Cost       float64
+}
+
+// String returns the reason of the choice for the log.
+func (p Plan) String() string {
+	return fmt.Sprintf("cost %.2f, first event in %v, %d helpers, reserve %d",
+		p.Cost, p.FirstEvent.Round(time.Millisecond), len(p.Helpers), p.Reserve)
+}
+
+// Choose returns the plan of the lowest cost. It returns false when no engine
+// can hold the request now.
+func Choose(m *topology.EngineModel, engines []Engine, job Job) (Plan, bool) {
+	loads := make([]load, 0, len(engines))
+	for _, e := range engines {
+		if !e.Tried && !e.Full {
+			loads = append(loads, summarise(m, e))
+		}
+	}
+	var best Plan
+	found := false
+	for _, helpers := range helperCounts {
+		if helpers >= len(loads) || helpers > 0 && job.PromptTokens/(helpers+1) < minPart {
+			break
+		}
+		plan, ok := chooseWith(m, loads, job, helpers)
+		if ok && (!found || plan.Cost < best.Cost) {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
+// scored is an engine with the cost of using it.
+type scored struct {
+	*load
+	cost float64
+}
+
+// chooseWith returns the best plan with a number of helpers.
+func chooseWith(m *topology.EngineModel, loads []load, job Job, helpers int) (Plan, bool) {
+	part := enginemodel.Read(m, job.PromptTokens) / time.Duration(helpers+1)
+	room := int(float64(m.MemoryTokens) * (1 - memoryReserve))
+	target, reserve := chooseTarget(m, loads, job, part, helpers, room)
+	if target == nil {
+		return Plan{}, false
+	}
+	plan := Plan{Target: target.Target, Reserve: reserve, Cost: target.cost}
+	ready := target.ready(m, part, helpers > 0)
+	if helpers > 0 {
+		chosen := chooseHelpers(m, loads, target.load, part, helpers, reserve, room)
+		if chosen == nil {
+			return Plan{}, false
+		}
+		for _, h := range chosen {
+			plan.Helpers = append(plan.Helpers, h.Target)
+			plan.Cost += h.cost + helperCost
+			ready = max(ready, h.ready(m, part, true))
+		}
+	}
+	plan.FirstEvent = ready
+	plan.Cost += lateness(job, ready)
+	return plan, true
+}
+
+// chooseTarget returns the engine that answers. Its cost includes the wait for
+// a slot, but not the lateness of the newcomer.
+func chooseTarget(m *topology.EngineModel, loads []load, job Job, part time.Duration, helpers, room int) (*scored, int) {
+	var best *scored
+	bestTotal, bestReserve := 0.0, 0
+	for i := range loads {
+		l := &loads[i]
+		need, reserve := job.PromptTokens+job.AnswerTokens, 0
+		if l.memory+need > room {
+			if helpers == 0 {
+				continue
+			}
+			reserve = job.PromptTokens/(helpers+1) + 1
+			need = reserve + job.AnswerTokens
+		}
+		if l.memory+need > room {
+			continue
+		}
+		cost := l.harm(m, part) + l.standing(job)
+		if reserve > 0 {
+			cost += helperCost * 2
+		}
+		total := cost + lateness(job, l.ready(m, part, helpers > 0))
+		if best == nil || total < bestTotal {
+			best, bestTotal, bestReserve = &scored{l, cost}, total, reserve
+		}
+	}
+	return best, bestReserve
+}
+
+// chooseHelpers returns the engines on which parts do the least harm.
+func chooseHelpers(m *topology.EngineModel, loads []load, target *load, part time.Duration, n, reserve, room int) []scored {
+	var able []scored
+	for i := range loads {
+		l := &loads[i]
+		if l == target || l.Avoid || len(l.Parts) >= m.Slots || reserve > 0 && l.memory+reserve > room {
+			continue
+		}
+		cost := l.harm(m, part) + l.blame() + delayCost*l.ready(m, part, true).Seconds()
+		able = append(able, scored{l, cost})
+	}
+	if len(able) < n {
+		return nil
+	}
+	slices.SortStableFunc(able, func(a, b scored) int {
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		}
+		return 0
+	})
+	return able[:n]
+}
+
+// ready predicts the time to the first event of a prompt, or of a part, that
+// takes read. Parts are read ahead of other prompts.
+func (l *load) ready(_ *topology.EngineModel, read time.Duration, ahead bool) time.Duration {
+	wait := l.backlog + l.pass/2
+	if ahead {
+		wait = min(wait, l.pass+l.backlog/4)
+	}
+	return l.slotWait + wait + l.paced(read) + l.pass
+}
+
+// harm returns the cost of the pauses and delays that reading makes for the
+// requests on the engine.
+func (l *load) harm(m *topology.EngineModel, read time.Duration) float64 {
+	passCap := l.paced(enginemodel.Read(m, m.StepsPerPass*m.ChunkTokens))
+	before := l.pass + min(l.backlog, passCap)
+	after := l.pass + min(l.backlog+l.paced(read), passCap)
+	cost := 0.0
+	for _, i := range l.Items {
+		if i.PauseLimit > 0 {
+			cost += Weight(i.PromptTokens) * lateShare * (ramp(after, i.PauseLimit) - ramp(before, i.PauseLimit))
+		}
+		if !i.Writing {
+			cost += readerDelayCost * read.Seconds()
+		}
+	}
+	return cost
+}
+
+// blame returns the cost of an engine that fails or is far.
+func (l *load) blame() float64 {
+	cost := failCost * l.FailRate
+	if l.Avoid {
+		cost += avoidCost
+	}
+	if l.Away {
+		cost += awayCost
+	}
+	return cost
+}
+
+// standing returns what speaks against the engine as the target whatever is
+// read: its failures, and which streams share it.
+func (l *load) standing(job Job) float64 {
+	cost := l.blame()
+	if job.PauseLimit > 0 && job.PauseLimit < strictPause {
+		if l.strict == 0 {
+			cost += openCost
+		}
+		return cost - fillGain*float64(l.strict)
+	}
+	return cost + crowdCost*float64(len(l.Items))
+}
+
+// lateness returns the cost of a first event after a time.
+func lateness(job Job, ready time.Duration) float64 {
+	w := Weight(job.PromptTokens)
+	if ready >= job.Left {
+		return w + delayCost*ready.Seconds()
+	}
+	return w*lateShare*ramp(ready, job.Objective) + delayCost*ready.Seconds()
+}
+
+// ramp rises from 0 to 1 as a time approaches its limit.
+func ramp(d, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	x := float64(d) / float64(limit)
+	return min(max((x-rampStart)/(rampEnd-rampStart), 0), 1)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +131,7 @@
 	dialed := p.metrics.NewCounter("oriole_target_connections_total")
 	p.pool = upstream.NewPool(dialed.Inc)
 	p.handler = &forward.Handler{
+		Zone: p.vm.Zone, Instance: strconv.FormatUint(rand.Uint64(), 36),
 		Views: p.holder, Protocol: o.Protocol, Pool: p.pool, Board: p.board, Health: p.health, Log: o.Log,
 		Budget:  forward.NewRetryBudget(p.retryLimits, func() int { return mesh.Status().VMs }),
 		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load,
--- a/internal/process/views.go
+++ b/internal/process/views.go
@@ -23,7 +23,7 @@
 // lapseGrace is how long a target that vanished from the store around an outage
 // stays in use: living ones write their rows again within two seconds of the
 // store's return.
-const lapseGrace = 2200 * time.Millisecond
+const lapseGrace = 1600 * time.Millisecond
 
 // views builds the current view from the copies of the tables.
 type views struct {
@@ -119,7 +119,7 @@
 	if t == nil {
 		return
 	}
-	if unsettled && !t.Draining {
+	if unsettled && !t.Draining && v.mostGone(t.Service) {
 		v.log.Info("target vanished around an outage of the store", "target", r.Key, "row_version", r.Version)
 		v.lapsing[r.Key] = now
 		return
@@ -128,6 +128,22 @@
 	delete(v.targets, r.Key)
 }
 
+// mostGone reports whether few targets of a service would be left. One that
+// vanishes alone has left; many at once have lapsed.
+func (v *views) mostGone(service string) bool {
+	known, left := 0, 0
+	for id, t := range v.targets {
+		if t.Service != service {
+			continue
+		}
+		known++
+		if _, lapsing := v.lapsing[id]; !lapsing {
+			left++
+		}
+	}
+	return 2*(left-1) < known
+}
+
 // tick removes targets that have not come back.
 func (v *views) tick() {
 	now := time.Now()
