--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
@@ -46,14 +48,20 @@
 		if d != nil || !h.mayHold(c, f) {
 			return d, f
 		}
-		if !wait.For(ctx, placeInterval) {
+		if !wait.For(ctx, placeInterval/2+rand.N(placeInterval)) {
 			return nil, f
 		}
 	}
 }
 
+// holdCall marks a request that waits because it would harm others now.
+var holdCall = &refusal{http.StatusServiceUnavailable, "the request waited for an engine until its deadline", time.Second}
+
 // mayHold reports whether a request that found no room is held.
 func (h *Handler) mayHold(c *call, f *refusal) bool {
+	if f == holdCall {
+		return true
+	}
 	if f != refuseBusy {
 		return false
 	}
@@ -108,16 +116,17 @@
 		return nil, refuseNeverFits
 	}
 	engines := h.engines(targets)
-	plan, ok := placement.Choose(model, engines, placement.Job{
+	job := placement.Job{
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.AnswerTokens,
-		PauseLimit: c.route.PauseLimit, Objective: c.route.Objective - time.Since(c.arrived), Left: c.left(),
-	})
-	if !ok {
-		return nil, refuseBusy
+		PauseLimit: c.route.PauseLimit, Objective: c.route.Objective, Waited: time.Since(c.arrived), Left: c.left(),
 	}
-	if plan.FirstEvent > c.left() {
+	plan, ok := placement.Choose(model, engines, job)
+	if !ok || plan.FirstEvent > c.left() {
 		return nil, refuseBusy
 	}
+	if plan.Advise(job) == placement.Hold {
+		return nil, holdCall
+	}
 	return &destination{target: plan.Target, plan: &plan, firstEvent: plan.FirstEvent}, nil
 }
 
@@ -157,3 +166,14 @@
 // coldShare is the part of a cold target's rate that is used: VMs do not know
 // of each other's latest requests, and of those that have ended.
 const coldShare = 0.5
+
+// reading returns the time for which an engine still reads prompts, as far as
+// this VM knows.
+func (h *Handler) reading(t *topology.Target) time.Duration {
+	service := h.Views.Get().Service(t.Service)
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	load := h.Board.Loads().Of(t.ID)
+	return placement.Reading(service.Engine, placement.Engine{Target: t, Items: load.Items, Parts: load.Parts})
+}
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -28,14 +28,33 @@
 	timer *time.Timer
 }
 
-// newWatch returns a watch that calls cancel after a silence; 0 means none.
-func newWatch(cancel context.CancelCauseFunc, limit time.Duration) *watch {
+// newWatch returns a watch that calls cancel after a silence; a limit of 0 means
+// none. excuse returns the time by which known work of the target explains the
+// silence; the watch waits for it once.
+func newWatch(cancel context.CancelCauseFunc, limit time.Duration, excuse func() time.Duration) *watch {
+	w := &watch{}
 	if limit <= 0 {
-		return &watch{}
+		return w
 	}
-	return &watch{timer: time.AfterFunc(limit, func() { cancel(errSilent) })}
+	excused := false
+	w.timer = time.AfterFunc(limit, func() {
+		if more := excuse(); more > minExcuse && !excused {
+			excused = true
+			w.timer.Reset(min(more, maxExcuse))
+			return
+		}
+		cancel(errSilent)
+	})
+	return w
 }
 
+// Bounds of the work that excuses a target's silence. Callers of short streams
+// give up after two seconds without an event.
+const (
+	minExcuse = 100 * time.Millisecond
+	maxExcuse = 2500 * time.Millisecond
+)
+
 func (w *watch) reset(limit time.Duration) {
 	if w.timer == nil {
 		return
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -43,6 +43,8 @@
 	PauseLimit time.Duration
 	Objective  time.Duration
 	Left       time.Duration
+	// Waited is the time since the request arrived.
+	Waited time.Duration
 }
 
 // tokensPerWeight is the prompt size that adds 1 to the weight of a request.
@@ -57,8 +59,11 @@
 	Engine
 	pass    time.Duration // without reading
 	backlog time.Duration // reading that is left
-	memory  int           // tokens in use or promised
-	free    int           // slots
+	// parts is the part of the backlog that is read ahead: parts of prompts that
+	// several engines read.
+	parts  time.Duration
+	memory int // tokens in use or promised
+	free   int // slots
 	// strict counts the streams with a short pause limit.
 	strict int
 	// slotWait is the time until a slot is free.
@@ -73,7 +78,7 @@
 	l := load{Engine: e, free: m.Slots - len(e.Items)}
 	l.Pace = max(l.Pace, 1)
 	writers, context := 0, 0
-	var readers []enginemodel.Reader
+	var readers, parts []enginemodel.Reader
 	for _, i := range e.Items {
 		share := shares(i)
 		l.memory += memoryAtTarget(i)
@@ -85,7 +90,11 @@
 			context += i.PromptTokens / share
 			continue
 		}
-		readers = append(readers, enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)})
+		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
+		readers = append(readers, r)
+		if share > 1 {
+			parts = append(parts, r)
+		}
 	}
 	for _, i := range e.Parts {
 		share := shares(i)
@@ -96,10 +105,13 @@
 			context += i.PromptTokens / share
 			continue
 		}
-		readers = append(readers, enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)})
+		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
+		readers = append(readers, r)
+		parts = append(parts, r)
 	}
 	l.pass = l.paced(enginemodel.Pass(m, max(writers, 1), context))
 	l.backlog = enginemodel.Backlog(readers)
+	l.parts = enginemodel.Backlog(parts)
 	if l.free <= 0 {
 		l.slotWait = slotWait(m, l, 1-l.free)
 	}
@@ -133,3 +145,6 @@
 	mean := whole / time.Duration(len(l.Items))
 	return mean * time.Duration(nth) / time.Duration(m.Slots)
 }
+
+// Reading returns the time for which an engine still reads prompts.
+func Reading(m *topology.EngineModel, e Engine) time.Duration { return summarise(m, e).backlog }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,6 +45,8 @@
 
 // Plan is a choice.
 type Plan struct {
+	// Harm is the part of the cost that others bear.
+	Harm    float64
 	Target  *topology.Target
 	Helpers []*topology.Target
 	// Reserve is the memory to reserve at the target and at each helper, in
@@ -55,6 +57,47 @@
 	Cost       float64
 }
 
+// Advice says when to carry out a plan.
+type Advice uint8
+
+// The kinds of advice.
+const (
+	Go   Advice = iota // now
+	Hold               // later, when it harms others less
+)
+
+const (
+	// harmBound is the harm to others, in small requests that end late, up to
+	// which a request never waits.
+	harmBound = 0.5
+	// slack is the part of the objective that waiting leaves unused.
+	slack = 0.2
+	// lastStart is how long before the deadline, beside the predicted time to the
+	// first event, a request goes whatever harm it does.
+	lastStart = 4 * time.Second
+)
+
+// Advise weighs a plan's harm to others against what the request loses by
+// waiting. A request waits while it can still be on time; then it goes if that
+// gains more than it harms, and otherwise waits as long as it can be served.
+func (p Plan) Advise(job Job) Advice {
+	if p.Harm <= harmBound {
+		return Go
+	}
+	spare := time.Duration((1-slack)*float64(job.Objective)) - job.Waited - p.FirstEvent
+	if spare > 0 {
+		return Hold
+	}
+	gain := Weight(job.PromptTokens) * lateShare * (1 - ramp(job.Waited+p.FirstEvent, job.Objective))
+	if p.Harm <= gain {
+		return Go
+	}
+	if job.Left > p.FirstEvent+lastStart {
+		return Hold
+	}
+	return Go
+}
+
 // String returns the reason of the choice for the log.
 func (p Plan) String() string {
 	return fmt.Sprintf("cost %.2f, first event in %v, %d helpers, reserve %d",
@@ -92,14 +135,14 @@
 
 // chooseWith returns the best plan with a number of helpers.
 func chooseWith(m *topology.EngineModel, loads []load, job Job, helpers int) (Plan, bool) {
-	part := enginemodel.Read(m, job.PromptTokens) / time.Duration(helpers+1)
+	part := newPart(m, job.PromptTokens, helpers+1)
 	room := int(float64(m.MemoryTokens) * (1 - memoryReserve))
 	target, reserve := chooseTarget(m, loads, job, part, helpers, room)
 	if target == nil {
 		return Plan{}, false
 	}
-	plan := Plan{Target: target.Target, Reserve: reserve, Cost: target.cost}
-	ready := target.ready(m, part, helpers > 0)
+	plan := Plan{Target: target.Target, Reserve: reserve, Cost: target.cost, Harm: target.harm(part)}
+	ready := target.ready(part, helpers > 0)
 	if helpers > 0 {
 		chosen := chooseHelpers(m, loads, target.load, part, helpers, reserve, room)
 		if chosen == nil {
@@ -108,7 +151,8 @@
 		for _, h := range chosen {
 			plan.Helpers = append(plan.Helpers, h.Target)
 			plan.Cost += h.cost + helperCost
-			ready = max(ready, h.ready(m, part, true))
+			plan.Harm += h.harm(part)
+			ready = max(ready, h.ready(part, true))
 		}
 	}
 	plan.FirstEvent = ready
@@ -118,7 +162,7 @@
 
 // chooseTarget returns the engine that answers. Its cost includes the wait for
 // a slot, but not the lateness of the newcomer.
-func chooseTarget(m *topology.EngineModel, loads []load, job Job, part time.Duration, helpers, room int) (*scored, int) {
+func chooseTarget(m *topology.EngineModel, loads []load, job Job, part reading, helpers, room int) (*scored, int) {
 	var best *scored
 	bestTotal, bestReserve := 0.0, 0
 	for i := range loads {
@@ -134,11 +178,11 @@
 		if l.memory+need > room {
 			continue
 		}
-		cost := l.harm(m, part) + l.standing(job)
+		cost := l.harm(part) + l.standing(job)
 		if reserve > 0 {
 			cost += helperCost * 2
 		}
-		total := cost + lateness(job, l.ready(m, part, helpers > 0))
+		total := cost + lateness(job, l.ready(part, helpers > 0))
 		if best == nil || total < bestTotal {
 			best, bestTotal, bestReserve = &scored{l, cost}, total, reserve
 		}
@@ -147,14 +191,14 @@
 }
 
 // chooseHelpers returns the engines on which parts do the least harm.
-func chooseHelpers(m *topology.EngineModel, loads []load, target *load, part time.Duration, n, reserve, room int) []scored {
+func chooseHelpers(m *topology.EngineModel, loads []load, target *load, part reading, n, reserve, room int) []scored {
 	var able []scored
 	for i := range loads {
 		l := &loads[i]
 		if l == target || l.Avoid || len(l.Parts) >= m.Slots || reserve > 0 && l.memory+reserve > room {
 			continue
 		}
-		cost := l.harm(m, part) + l.blame() + delayCost*l.ready(m, part, true).Seconds()
+		cost := l.harm(part) + l.blame() + delayCost*l.ready(part, true).Seconds()
 		able = append(able, scored{l, cost})
 	}
 	if len(able) < n {
@@ -172,29 +216,43 @@
 	return able[:n]
 }
 
-// ready predicts the time to the first event of a prompt, or of a part, that
-// takes read. Parts are read ahead of other prompts.
-func (l *load) ready(_ *topology.EngineModel, read time.Duration, ahead bool) time.Duration {
-	wait := l.backlog + l.pass/2
+// reading is a prompt, or a part of one, that an engine is to read.
+type reading struct {
+	whole time.Duration
+	// perPass is what one pass of an engine with writers reads of it at most.
+	perPass time.Duration
+}
+
+// newPart returns one of several even parts of a prompt.
+func newPart(m *topology.EngineModel, tokens, parts int) reading {
+	whole := enginemodel.Read(m, tokens) / time.Duration(parts)
+	passes := max(float64(tokens)/float64(parts)/float64(m.StepsPerPass*m.ChunkTokens), 1)
+	return reading{whole: whole, perPass: time.Duration(float64(whole) / passes)}
+}
+
+// ready predicts the time to the first event of a prompt, or of a part. Parts
+// are read ahead of other prompts.
+func (l *load) ready(r reading, ahead bool) time.Duration {
+	wait := l.backlog
 	if ahead {
-		wait = min(wait, l.pass+l.backlog/4)
+		wait = l.parts
 	}
-	return l.slotWait + wait + l.paced(read) + l.pass
+	wait += l.pass / 2
+	return l.slotWait + wait + l.paced(r.whole) + l.pass
 }
 
 // harm returns the cost of the pauses and delays that reading makes for the
 // requests on the engine.
-func (l *load) harm(m *topology.EngineModel, read time.Duration) float64 {
-	passCap := l.paced(enginemodel.Read(m, m.StepsPerPass*m.ChunkTokens))
-	before := l.pass + min(l.backlog, passCap)
-	after := l.pass + min(l.backlog+l.paced(read), passCap)
+func (l *load) harm(r reading) float64 {
+	before := l.pass + l.backlog
+	after := before + l.paced(r.perPass)
 	cost := 0.0
 	for _, i := range l.Items {
 		if i.PauseLimit > 0 {
 			cost += Weight(i.PromptTokens) * lateShare * (ramp(after, i.PauseLimit) - ramp(before, i.PauseLimit))
 		}
 		if !i.Writing {
-			cost += readerDelayCost * read.Seconds()
+			cost += readerDelayCost * r.whole.Seconds()
 		}
 	}
 	return cost
@@ -231,7 +289,7 @@
 	if ready >= job.Left {
 		return w + delayCost*ready.Seconds()
 	}
-	return w*lateShare*ramp(ready, job.Objective) + delayCost*ready.Seconds()
+	return w*lateShare*ramp(job.Waited+ready, job.Objective) + delayCost*ready.Seconds()
 }
 
 // ramp rises from 0 to 1 as a time approaches its limit.
