--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -17,8 +17,11 @@
 // Times of reservations. A reservation is short and renewed, so that the memory
 // comes free soon after a VM has died.
 const (
-	reservationHold  = 3500 * time.Millisecond
-	renewInterval    = time.Second
+	reservationHold = 3500 * time.Millisecond
+	renewInterval   = time.Second
+	// reserveInterval is the wait after an engine had not the memory that it was
+	// thought to have.
+	reserveInterval  = 150 * time.Millisecond
 	orderTimeout     = 600 * time.Millisecond
 	releaseInterval  = 1500 * time.Millisecond
 	releaseTries     = 9 // covers orders that are carried out 12 s late
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -73,13 +73,14 @@
 	// slack is the part of the objective that waiting leaves unused.
 	slack = 0.2
 	// lastStart is how long before the deadline, beside the predicted time to the
-	// first event, a request goes whatever harm it does.
+	// first event, a request that is late already stops waiting for a better time.
 	lastStart = 4 * time.Second
 )
 
 // Advise weighs a plan's harm to others against what the request loses by
 // waiting. A request waits while it can still be on time; then it goes if that
-// gains more than it harms, and otherwise waits as long as it can be served.
+// gains more than it harms. Later it goes if the harm is below its own weight, and
+// otherwise waits as long as it can be served.
 func (p Plan) Advise(job Job) Advice {
 	if p.Harm <= harmBound {
 		return Go
@@ -92,10 +93,10 @@
 	if p.Harm <= gain {
 		return Go
 	}
-	if job.Left > p.FirstEvent+lastStart {
-		return Hold
+	if job.Left < p.FirstEvent+lastStart && p.Harm <= Weight(job.PromptTokens) {
+		return Go
 	}
-	return Go
+	return Hold
 }
 
 // String returns the reason of the choice for the log.
