--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -45,6 +45,7 @@
 	Isolated func() bool
 
 	bodies   *budget.Bytes
+	watches  watches
 	stopping atomic.Bool
 	active   atomic.Int64
 }
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -29,6 +29,12 @@
 	lapses    int
 	avoidTill time.Time
 	gone      bool
+	// reached tells the result of the last try of a connection, at reachedAt.
+	reached   bool
+	reachedAt time.Time
+	// peerTill is the time until which another VM's word counts that it cannot
+	// reach the target.
+	peerTill time.Time
 }
 
 // NewHealth returns a Health that knows no failures.
@@ -42,11 +48,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t := h.targets[target]
-	if t == nil {
-		t = &targetHealth{at: now}
-		h.targets[target] = t
-	}
+	t := h.of(target, now)
 	bad := 0.0
 	if o == lost || o == failed {
 		bad = 1
@@ -64,16 +66,78 @@
 	}
 }
 
-// Gone marks a target whose address belongs to another one.
-func (h *Health) Gone(target string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// of returns the entry of a target. The lock must be held.
+func (h *Health) of(target string, now time.Time) *targetHealth {
 	t := h.targets[target]
 	if t == nil {
-		t = &targetHealth{}
+		t = &targetHealth{at: now}
 		h.targets[target] = t
 	}
-	t.gone = true
+	return t
+}
+
+// reachedFor is how long the result of a try of a connection holds.
+const reachedFor = 300 * time.Millisecond
+
+// reached returns the result of a recent try of a connection, if there is one.
+func (h *Health) reached(target string) (result, known bool) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.of(target, now)
+	return t.reached, !t.reachedAt.IsZero() && now.Sub(t.reachedAt) < reachedFor
+}
+
+func (h *Health) noteReached(target string, ok bool) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.of(target, now)
+	t.reached, t.reachedAt = ok, now
+}
+
+// Unreachable notes that a target takes no connection.
+func (h *Health) Unreachable(target string) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.of(target, now)
+	t.lapses = max(t.lapses, 1)
+	t.avoidTill = now.Add(min(unreachableFirst<<min(t.lapses+1, 4), unreachableMax))
+}
+
+// Avoided returns the targets that this VM itself found unreachable.
+func (h *Health) Avoided() []string {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []string
+	for id, t := range h.targets {
+		if now.Before(t.avoidTill) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// peerWord is how long another VM's word counts.
+const peerWord = 600 * time.Millisecond
+
+// NotePeers takes the targets that another VM finds unreachable.
+func (h *Health) NotePeers(targets []string) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range targets {
+		h.of(id, now).peerTill = now.Add(peerWord)
+	}
+}
+
+// Gone marks a target whose address belongs to another one.
+func (h *Health) Gone(target string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(target, time.Now()).gone = true
 }
 
 func (t *targetHealth) rate(now time.Time) float64 {
@@ -87,6 +151,8 @@
 	FailRate float64
 	// Avoid is true for a target that did not answer lately.
 	Avoid bool
+	// Doubted is true for a target that another VM cannot reach.
+	Doubted bool
 	// Gone is true for a target that exists no more.
 	Gone bool
 	// Pace is the factor by which the target is slower than usual.
@@ -101,7 +167,7 @@
 	if t == nil {
 		return Verdict{Pace: 1}
 	}
-	return Verdict{FailRate: t.rate(now), Avoid: now.Before(t.avoidTill), Gone: t.gone, Pace: 1}
+	return Verdict{FailRate: t.rate(now), Avoid: now.Before(t.avoidTill), Doubted: now.Before(t.peerTill), Gone: t.gone, Pace: 1}
 }
 
 // Retain forgets the targets that are not in use any more.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -85,6 +85,7 @@
 const (
 	plainFailCost  = 2.0
 	plainAvoidCost = 10.0
+	plainDoubtCost = 1.0
 	plainAwayCost  = 0.05
 )
 
@@ -100,6 +101,9 @@
 		if v.Avoid {
 			cost += plainAvoidCost
 		}
+		if v.Doubted {
+			cost += plainDoubtCost
+		}
 		if t.Zone != h.Zone {
 			cost += plainAwayCost
 		}
@@ -140,7 +144,7 @@
 		load := loads.Of(t.ID)
 		engines = append(engines, placement.Engine{
 			Target: t, Items: load.Items, Parts: load.Parts, Pace: v.Pace,
-			FailRate: v.FailRate, Avoid: v.Avoid, Away: t.Zone != h.Zone,
+			FailRate: v.FailRate, Avoid: v.Avoid, Doubted: v.Doubted, Away: t.Zone != h.Zone,
 			Full: t.Cold(now) && h.coldFull(t, load, now),
 		})
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -155,7 +155,7 @@
 		helpers = names
 	}
 	started := time.Now()
-	watch := newWatch(cancel, firstEventLimit(c, d), func() time.Duration { return h.reading(d.target) })
+	watch := h.newWatch(d.target, cancel, firstEventLimit(c, d))
 	defer watch.stop()
 	e, err := h.Pool.Do(ctx, d.target.ID, d.target.Address, h.outgoing(c, d.target, helpers), c.route.Kind == topology.Once, func(header http.Header) bool {
 		id := h.Protocol.Answer(0, header).ID
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/topology"
@@ -19,56 +20,177 @@
 	// plainFactor is the number of objectives after which another target gets an
 	// idempotent request.
 	plainFactor = 2
+	// suspectAfter is the silence after which it is tried whether the target can
+	// be reached at all.
+	suspectAfter = 400 * time.Millisecond
+	// Bounds of the work that excuses a target's silence. Callers of short
+	// streams give up after two seconds without an event.
+	minExcuse = 100 * time.Millisecond
+	maxExcuse = 2500 * time.Millisecond
 )
 
-var errSilent = errors.New("the target was silent for too long")
+var (
+	errSilent = errors.New("the target was silent for too long")
+	errDead   = errors.New("the target cannot be reached")
+)
 
-// watch ends a try when its target is silent for too long.
+// watch ends a try when its target is silent for too long or found dead.
 type watch struct {
-	timer *time.Timer
+	h      *Handler
+	target *topology.Target
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	limit   time.Duration // 0 when the try must not be ended
+	probed  bool
+	excused bool
+	stopped bool
 }
 
-// newWatch returns a watch that calls cancel after a silence; a limit of 0 means
-// none. excuse returns the time by which known work of the target explains the
-// silence; the watch waits for it once.
-func newWatch(cancel context.CancelCauseFunc, limit time.Duration, excuse func() time.Duration) *watch {
-	w := &watch{}
-	if limit <= 0 {
-		return w
-	}
-	excused := false
-	w.timer = time.AfterFunc(limit, func() {
-		if more := excuse(); more > minExcuse && !excused {
-			excused = true
-			w.timer.Reset(min(more, maxExcuse))
-			return
-		}
-		cancel(errSilent)
-	})
+// newWatch returns a watch with a limit of silence; 0 means none.
+func (h *Handler) newWatch(target *topology.Target, cancel context.CancelCauseFunc, limit time.Duration) *watch {
+	w := &watch{h: h, target: target, cancel: cancel}
+	w.timer = time.AfterFunc(time.Hour, w.fire)
+	h.watches.add(w)
+	w.reset(limit)
 	return w
 }
 
-// Bounds of the work that excuses a target's silence. Callers of short streams
-// give up after two seconds without an event.
-const (
-	minExcuse = 100 * time.Millisecond
-	maxExcuse = 2500 * time.Millisecond
-)
-
+// reset starts the silence anew.
 func (w *watch) reset(limit time.Duration) {
-	if w.timer == nil {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
 		return
 	}
+	w.limit, w.probed, w.excused = limit, false, false
 	if limit <= 0 {
 		w.timer.Stop()
 		return
 	}
-	w.timer.Reset(limit)
+	w.timer.Reset(min(suspectAfter, limit))
 }
 
 func (w *watch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	w.mu.Lock()
+	w.stopped = true
+	w.timer.Stop()
+	w.mu.Unlock()
+	w.h.watches.remove(w)
+}
+
+// end cancels the try unless it must not be ended.
+func (w *watch) end(cause error) {
+	w.mu.Lock()
+	ends := w.limit > 0 && !w.stopped
+	w.mu.Unlock()
+	if ends {
+		w.cancel(cause)
+	}
+}
+
+// fire runs when the target has been silent: first it is tried whether the
+// target can be reached, then the try ends unless the target's known work
+// explains the silence.
+func (w *watch) fire() {
+	w.mu.Lock()
+	limit, first := w.limit, !w.probed
+	w.probed = true
+	w.mu.Unlock()
+	if limit <= 0 {
+		return
+	}
+	if first && limit > suspectAfter {
+		w.rearm(limit - suspectAfter)
+		if !w.h.reachable(w.target) {
+			w.h.dead(w.target)
+		}
+		return
+	}
+	w.mu.Lock()
+	excused := w.excused
+	w.excused = true
+	w.mu.Unlock()
+	if more := w.h.reading(w.target); more > minExcuse && !excused {
+		w.rearm(min(more, maxExcuse))
+		return
+	}
+	w.end(errSilent)
+}
+
+func (w *watch) rearm(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(d)
+	}
+}
+
+// watches holds the watches of all tries by target.
+type watches struct {
+	mu       sync.Mutex
+	byTarget map[string]map[*watch]bool
+}
+
+func (s *watches) add(w *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byTarget == nil {
+		s.byTarget = map[string]map[*watch]bool{}
+	}
+	if s.byTarget[w.target.ID] == nil {
+		s.byTarget[w.target.ID] = map[*watch]bool{}
+	}
+	s.byTarget[w.target.ID][w] = true
+}
+
+func (s *watches) remove(w *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byTarget[w.target.ID], w)
+	if len(s.byTarget[w.target.ID]) == 0 {
+		delete(s.byTarget, w.target.ID)
+	}
+}
+
+func (s *watches) of(target string) []*watch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []*watch
+	for w := range s.byTarget[target] {
+		all = append(all, w)
+	}
+	return all
+}
+
+// reachable tries whether a target takes a connection. Two tries at once keep a
+// lost packet from being taken for a dead target. Tries of one target are
+// shared.
+func (h *Handler) reachable(t *topology.Target) bool {
+	if known, ok := h.Health.reached(t.ID); ok {
+		return known
+	}
+	const tries = 2
+	answers := make(chan bool, tries)
+	for range tries {
+		go func() { answers <- h.Pool.Reach(t.Address) }()
+	}
+	ok := false
+	for range tries {
+		ok = <-answers || ok
+	}
+	h.Health.noteReached(t.ID, ok)
+	return ok
+}
+
+// dead ends all tries at a target that cannot be reached.
+func (h *Handler) dead(t *topology.Target) {
+	watches := h.watches.of(t.ID)
+	h.Log.Warn("target cannot be reached", "target", t.ID, "zone", t.Zone, "tries", len(watches))
+	h.Health.Unreachable(t.ID)
+	for _, w := range watches {
+		w.end(errDead)
 	}
 }
 
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -39,6 +39,8 @@
 	// Positions holds the version up to which each table is known.
 	Positions map[string]uint64 `msgpack:"p"`
 	Jobs      []jobMessage      `msgpack:"j,omitempty"`
+	// Unreachable are the targets that the sender cannot reach.
+	Unreachable []string `msgpack:"n,omitempty"`
 }
 
 // jobMessage is an inflight.Item on the wire; times are in milliseconds.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -55,6 +55,7 @@
 	copies  map[string]*replica.Copy
 	merge   func(replica.Delta)
 	contact func() time.Time // last answer of the store
+	doubts  Doubts
 
 	conn    *net.UDPConn
 	client  *link.Client
@@ -81,6 +82,14 @@
 	earlier uint64
 }
 
+// Doubts keeps which targets cannot be reached.
+type Doubts interface {
+	// Avoided returns the targets that this VM cannot reach.
+	Avoided() []string
+	// NotePeers takes those that another VM cannot reach.
+	NotePeers(targets []string)
+}
+
 // Options are the parts that a Mesh works with.
 type Options struct {
 	Self   Self
@@ -91,6 +100,7 @@
 	Merge func(replica.Delta)
 	// StoreContact returns when the store last answered this VM.
 	StoreContact func() time.Time
+	Doubts       Doubts
 }
 
 // New opens the mesh's sockets.
@@ -104,7 +114,7 @@
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
 	}
 	m := &Mesh{
-		self: o.Self, log: o.Log, board: o.Board, merge: o.Merge, contact: o.StoreContact,
+		self: o.Self, log: o.Log, board: o.Board, merge: o.Merge, contact: o.StoreContact, doubts: o.Doubts,
 		copies: map[string]*replica.Copy{}, conn: conn, started: rand.Uint64(),
 		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
 		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
@@ -223,6 +233,7 @@
 		h.Positions[table] = c.Position()
 	}
 	h.Jobs = encodeJobs(m.board.Own())
+	h.Unreachable = m.doubts.Avoided()
 	data, err := msgpack.Marshal(h)
 	if err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
@@ -282,6 +293,7 @@
 		m.Wake()
 	}
 	m.board.SetPeer(h.Datagrams, decodeJobs(h.Jobs))
+	m.doubts.NotePeers(h.Unreachable)
 	m.fetchNewer(ctx, h)
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -28,6 +28,8 @@
 	// request was sent to it.
 	Avoid bool
 	Tried bool
+	// Doubted is true when another VM cannot reach the engine.
+	Doubted bool
 	// Full is true when the engine is cold and has all that it bears.
 	Full bool
 	// Away is true in another zone than this VM's.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,7 @@
 	// failCost and avoidCost keep requests off engines that fail.
 	failCost  = 3
 	avoidCost = 6
+	doubtCost = 2
 	awayCost  = 0.01
 	// minPart is the shortest part, in tokens, that is worth a helper.
 	minPart = 8_000
@@ -196,7 +197,7 @@
 	var able []scored
 	for i := range loads {
 		l := &loads[i]
-		if l == target || l.Avoid || len(l.Parts) >= m.Slots || reserve > 0 && l.memory+reserve > room {
+		if l == target || l.Avoid || l.Doubted || len(l.Parts) >= m.Slots || reserve > 0 && l.memory+reserve > room {
 			continue
 		}
 		cost := l.harm(part) + l.blame() + delayCost*l.ready(part, true).Seconds()
@@ -265,6 +266,9 @@
 	if l.Avoid {
 		cost += avoidCost
 	}
+	if l.Doubted {
+		cost += doubtCost
+	}
 	if l.Away {
 		cost += awayCost
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -121,7 +121,7 @@
 		Self: peers.Self{Name: o.Settings.VM.Name, Zone: o.Settings.VM.Zone,
 			Datagrams: o.Settings.Listen.Datagrams, Links: o.Settings.Listen.Links},
 		Log: o.Log, Board: p.board, Copies: []*replica.Copy{p.operator.Copy, p.targets.Copy},
-		Merge: p.merge, StoreContact: p.storeContact,
+		Merge: p.merge, StoreContact: p.storeContact, Doubts: p.health,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,7 +25,7 @@
 const (
 	// dialTimeout is far above a round trip within a region, and below the time
 	// after which a lost opening packet is sent again.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// idleTimeout is how long a connection is kept without a request when the
 	// target names no time.
 	idleTimeout = 4 * time.Second
@@ -160,6 +160,16 @@
 	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Reach reports whether an address takes a connection.
+func (p *Pool) Reach(address string) bool {
+	c, err := p.dialer.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 // send writes the request without waiting, because a target may answer before
 // it has read a long body.
 func (c *conn) send(r Request) {
