Count the prompts that a part overtakes as harmed; go on trying silent targets

Cause: an engine reads the newest part first (a replay of the logged placements by seven orders of reading shows it: request 150555 waited exactly for the later part of 266171). Parts starved older ones.

--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -63,7 +63,7 @@
 	errs := make(chan error, len(r.targets))
 	for _, t := range r.targets {
 		go func() {
-			errs <- r.h.order(ctx, t, r.h.Protocol.Reserve(t.ID, r.id, r.tokens, reservationHold), func() { r.noteUnsure(t.ID) })
+			errs <- r.h.order(ctx, t, r.h.Protocol.Reserve(t.ID, r.id, r.tokens, reservationHold), func() { r.unanswered(ctx, t) })
 		}()
 	}
 	var first error
@@ -75,10 +75,15 @@
 	return first
 }
 
-func (r *reservation) noteUnsure(target string) {
+// unanswered notes that an engine did not answer an order. The tries at one that
+// cannot be reached end, so that the other engines' memory is released.
+func (r *reservation) unanswered(ctx context.Context, t *topology.Target) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.unsure[target] = true
+	r.unsure[t.ID] = true
+	r.mu.Unlock()
+	if ctx.Err() == nil && !r.h.reachable(t) {
+		r.h.dead(t)
+	}
 }
 
 func (r *reservation) renew(ctx context.Context) {
@@ -103,7 +108,7 @@
 func (r *reservation) releaseAt(t *topology.Target) {
 	ctx := context.Background()
 	for try := range releaseTries {
-		err := r.h.order(ctx, t, r.h.Protocol.Release(t.ID, r.id), func() { r.noteUnsure(t.ID) })
+		err := r.h.order(ctx, t, r.h.Protocol.Release(t.ID, r.id), func() { r.unanswered(ctx, t) })
 		r.mu.Lock()
 		unsure := r.unsure[t.ID]
 		r.mu.Unlock()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -123,11 +123,12 @@
 // logPlan writes why a call goes where it goes.
 func (h *Handler) logPlan(c *call, d *destination) {
 	reason := "least loaded"
+	var helpers []string
 	if d.plan != nil {
-		reason = d.plan.String()
+		reason, helpers = d.plan.String(), targetIDs(d.plan.Helpers)
 	}
 	h.Log.Info("placed", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(), "target", d.target.ID,
-		"prompt", c.meta.PromptTokens, "answer", c.meta.AnswerTokens, "left", c.left().Round(time.Millisecond), "reason", reason)
+		"prompt", c.meta.PromptTokens, "answer", c.meta.AnswerTokens, "left", c.left().Round(time.Millisecond), "reason", reason, "helpers", helpers)
 }
 
 // try sends the call to one target.
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -21,8 +21,9 @@
 	// idempotent request.
 	plainFactor = 2
 	// suspectAfter is the silence after which it is tried whether the target can
-	// be reached at all.
+	// be reached at all, and suspectAgain the time between later tries.
 	suspectAfter = 400 * time.Millisecond
+	suspectAgain = 800 * time.Millisecond
 	// Bounds of the work that excuses a target's silence. Callers of short
 	// streams give up after two seconds without an event.
 	minExcuse = 100 * time.Millisecond
@@ -43,7 +44,7 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	limit   time.Duration // 0 when the try must not be ended
-	probed  bool
+	left    time.Duration // of the limit, when the timer fires next
 	excused bool
 	stopped bool
 }
@@ -64,12 +65,14 @@
 	if w.stopped {
 		return
 	}
-	w.limit, w.probed, w.excused = limit, false, false
+	w.limit, w.excused = limit, false
 	if limit <= 0 {
 		w.timer.Stop()
 		return
 	}
-	w.timer.Reset(min(suspectAfter, limit))
+	next := min(suspectAfter, limit)
+	w.left = limit - next
+	w.timer.Reset(next)
 }
 
 func (w *watch) stop() {
@@ -90,28 +93,29 @@
 	}
 }
 
-// fire runs when the target has been silent: first it is tried whether the
-// target can be reached, then the try ends unless the target's known work
-// explains the silence.
+// fire runs while the target is silent: it is tried whether the target can be
+// reached, and at the limit the try ends unless the target's known work explains
+// the silence.
 func (w *watch) fire() {
 	w.mu.Lock()
-	limit, first := w.limit, !w.probed
-	w.probed = true
-	w.mu.Unlock()
-	if limit <= 0 {
+	if w.limit <= 0 || w.stopped {
+		w.mu.Unlock()
 		return
 	}
-	if first && limit > suspectAfter {
-		w.rearm(limit - suspectAfter)
+	left, excused := w.left, w.excused
+	next := min(suspectAgain, left)
+	w.left -= next
+	if left <= 0 {
+		w.excused = true
+	}
+	w.mu.Unlock()
+	if left > 0 {
+		w.rearm(next)
 		if !w.h.reachable(w.target) {
 			w.h.dead(w.target)
 		}
 		return
 	}
-	w.mu.Lock()
-	excused := w.excused
-	w.excused = true
-	w.mu.Unlock()
 	if more := w.h.reading(w.target); more > minExcuse && !excused {
 		w.rearm(min(more, maxExcuse))
 		return
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -80,7 +80,7 @@
 	l := load{Engine: e, free: m.Slots - len(e.Items)}
 	l.Pace = max(l.Pace, 1)
 	writers, context := 0, 0
-	var readers, parts []enginemodel.Reader
+	var readers []enginemodel.Reader
 	for _, i := range e.Items {
 		share := shares(i)
 		l.memory += memoryAtTarget(i)
@@ -94,9 +94,6 @@
 		}
 		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
 		readers = append(readers, r)
-		if share > 1 {
-			parts = append(parts, r)
-		}
 	}
 	for _, i := range e.Parts {
 		share := shares(i)
@@ -109,11 +106,9 @@
 		}
 		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
 		readers = append(readers, r)
-		parts = append(parts, r)
 	}
 	l.pass = l.paced(enginemodel.Pass(m, max(writers, 1), context))
 	l.backlog = enginemodel.Backlog(readers)
-	l.parts = enginemodel.Backlog(parts)
 	if l.free <= 0 {
 		l.slotWait = slotWait(m, l, 1-l.free)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/enginemodel"
+	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/topology"
 )
 
@@ -27,9 +28,6 @@
 	helperCost = 0.03
 	// delayCost is what a second of waiting costs, also within the objective.
 	delayCost = 0.4
-	// readerDelayCost is what delaying another prompt's reading by a second
-	// costs.
-	readerDelayCost = 0.5
 	// failCost and avoidCost keep requests off engines that fail.
 	failCost  = 3
 	avoidCost = 6
@@ -143,7 +141,7 @@
 	if target == nil {
 		return Plan{}, false
 	}
-	plan := Plan{Target: target.Target, Reserve: reserve, Cost: target.cost, Harm: target.harm(part)}
+	plan := Plan{Target: target.Target, Reserve: reserve, Cost: target.cost, Harm: target.harm(part, helpers > 0)}
 	ready := target.ready(part, helpers > 0)
 	if helpers > 0 {
 		chosen := chooseHelpers(m, loads, target.load, part, helpers, reserve, room)
@@ -153,7 +151,7 @@
 		for _, h := range chosen {
 			plan.Helpers = append(plan.Helpers, h.Target)
 			plan.Cost += h.cost + helperCost
-			plan.Harm += h.harm(part)
+			plan.Harm += h.harm(part, true)
 			ready = max(ready, h.ready(part, true))
 		}
 	}
@@ -180,7 +178,7 @@
 		if l.memory+need > room {
 			continue
 		}
-		cost := l.harm(part) + l.standing(job)
+		cost := l.harm(part, helpers > 0) + l.standing(job)
 		if reserve > 0 {
 			cost += helperCost * 2
 		}
@@ -200,7 +198,7 @@
 		if l == target || l.Avoid || l.Doubted || len(l.Parts) >= m.Slots || reserve > 0 && l.memory+reserve > room {
 			continue
 		}
-		cost := l.harm(part) + l.blame() + delayCost*l.ready(part, true).Seconds()
+		cost := l.harm(part, true) + l.blame() + delayCost*l.ready(part, true).Seconds()
 		able = append(able, scored{l, cost})
 	}
 	if len(able) < n {
@@ -232,20 +230,19 @@
 	return reading{whole: whole, perPass: time.Duration(float64(whole) / passes)}
 }
 
-// ready predicts the time to the first event of a prompt, or of a part. Parts
-// are read ahead of other prompts.
-func (l *load) ready(r reading, ahead bool) time.Duration {
-	wait := l.backlog
-	if ahead {
-		wait = l.parts
+// ready predicts the time to the first event of a prompt, or of a part. An
+// engine reads whole prompts in order of arrival, but the newest part first.
+func (l *load) ready(r reading, part bool) time.Duration {
+	wait := l.pass / 2
+	if !part {
+		wait += l.backlog
 	}
-	wait += l.pass / 2
 	return l.slotWait + wait + l.paced(r.whole) + l.pass
 }
 
-// harm returns the cost of the pauses and delays that reading makes for the
-// requests on the engine.
-func (l *load) harm(r reading) float64 {
+// harm returns the cost for the requests on the engine: pauses of those that are
+// writing, and delays of those that a part overtakes.
+func (l *load) harm(r reading, part bool) float64 {
 	before := l.pass + l.backlog
 	after := before + l.paced(r.perPass)
 	cost := 0.0
@@ -253,8 +250,20 @@
 		if i.PauseLimit > 0 {
 			cost += Weight(i.PromptTokens) * lateShare * (ramp(after, i.PauseLimit) - ramp(before, i.PauseLimit))
 		}
-		if !i.Writing {
-			cost += readerDelayCost * r.whole.Seconds()
+	}
+	if part {
+		cost += overtaken(l.Items, l.paced(r.whole)) + overtaken(l.Parts, l.paced(r.whole))
+	}
+	return cost
+}
+
+// overtaken returns the cost of delaying the prompts that are not read yet. The
+// objective of a stream is a few times its pause limit, and part of it has gone.
+func overtaken(items []inflight.Item, delay time.Duration) float64 {
+	cost := 0.0
+	for _, i := range items {
+		if !i.Writing && i.PauseLimit > 0 {
+			cost += Weight(i.PromptTokens) * lateShare * min(delay.Seconds()/i.PauseLimit.Seconds(), 1)
 		}
 	}
 	return cost
