Pack short streams less strongly; wait for the running pass's reading

Cause: at the start of a burst all VMs sent short prompts to the same fullest engine, whose reading then took longer than the objective.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,7 +23,7 @@
 	openCost = 0.25
 	// crowdCost spreads long prompts, and fillGain packs short streams.
 	crowdCost = 0.03
-	fillGain  = 0.01
+	fillGain  = 0.004
 	// helperCost is the overhead of one more engine that reads a prompt.
 	helperCost = 0.03
 	// delayCost is what a second of waiting costs, also within the objective.
@@ -233,7 +233,7 @@
 // ready predicts the time to the first event of a prompt, or of a part. An
 // engine reads whole prompts in order of arrival, but the newest part first.
 func (l *load) ready(r reading, part bool) time.Duration {
-	wait := l.pass / 2
+	wait := (l.pass + min(l.backlog, l.pass)) / 2 // what is left of the pass that runs
 	if !part {
 		wait += l.backlog
 	}
