Test the path on the platform with real processes and stand-ins

Found by the tests: a body above the limit lost its answer to a reset; plain targets of equal cost were always taken in the same order; the predictor added a pass to prompts that an idle engine reads (seen 414 ms, predicted 462).

--- /dev/null
+++ b/internal/enginemodel/enginemodel_test.go
@@ -0,0 +1,51 @@
+package enginemodel
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/topology"
+)
+
+var model = &topology.EngineModel{
+	Slots: 16, MemoryTokens: 232_000, StepsPerPass: 43, Step: 1020 * time.Microsecond, PerWriter: 2260, PerContext: 4310,
+	ReadRate: 206_000, PerMillionPairs: 138 * time.Microsecond, ChunkTokens: 2048,
+}
+
+// Guards against a model that departs from what engines were seen to take, by
+// more than a twentieth: prompts read alone on a bench day, from their placement to
+// the first event (docs/MEASUREMENTS.md).
+func TestReadAgreesWithEngines(t *testing.T) {
+	for _, seen := range []struct {
+		tokens int
+		first  time.Duration
+	}{
+		{47_422, 414 * time.Millisecond},
+		{52_073, 471 * time.Millisecond},
+		{110_676, 1446 * time.Millisecond},
+		{72_730, 758 * time.Millisecond},
+	} {
+		predicted := Read(model, seen.tokens)
+		ratio := float64(predicted) / float64(seen.first)
+		assert.Assert(t, ratio > 0.95 && ratio < 1.05, "%d tokens: predicted %v, seen %v", seen.tokens, predicted, seen.first)
+	}
+}
+
+// Guards against a backlog that counts reading that is done, or forgets idle
+// time between prompts.
+func TestBacklog(t *testing.T) {
+	second := time.Second
+	assert.Equal(t, Backlog(nil), time.Duration(0))
+	assert.Equal(t, Backlog([]Reader{{Age: second, Read: 3 * second}}), 2*second)
+	assert.Equal(t, Backlog([]Reader{{Age: 5 * second, Read: second}, {Age: second, Read: 2 * second}}), second)
+	assert.Equal(t, Backlog([]Reader{{Age: second, Read: 2 * second}, {Age: 2 * second, Read: 3 * second}}), 3*second)
+	assert.Equal(t, Backlog([]Reader{{Age: 9 * second, Read: second}}), time.Duration(0))
+}
+
+func TestEvents(t *testing.T) {
+	assert.Equal(t, Events(model, 0), 1)
+	assert.Equal(t, Events(model, 43), 1)
+	assert.Equal(t, Events(model, 44), 2)
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -81,8 +81,11 @@
 	for name, values := range header {
 		to[name] = values
 	}
-	if to["Date"] == nil {
-		to["Date"] = nil
+	// A nil value keeps net/http from adding a header of its own.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, set := to[name]; !set {
+			to[name] = nil
+		}
 	}
 	o.w.WriteHeader(status)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,8 @@
 	// Zone is that of this VM; Instance tells its starts apart.
 	Zone     string
 	Instance string
+	// VMs returns the number of VMs that share limits, this one included.
+	VMs func() int
 	// Isolated reports whether the VM knows too little to start new work.
 	Isolated func() bool
 
@@ -156,6 +158,7 @@
 		limit = 4 << 20
 	}
 	if c.request.ContentLength > limit {
+		h.discard(c)
 		return refuseTooLarge
 	}
 	if !h.bodies.Take(max(c.request.ContentLength, 0)) {
@@ -167,6 +170,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
 	}
 	if int64(len(body)) > limit {
+		h.discard(c)
 		return refuseTooLarge
 	}
 	if !h.bodies.Take(int64(len(body))) {
@@ -176,6 +180,17 @@
 	return nil
 }
 
+// discardBytes bounds what is read of a body that is too large.
+const discardBytes = 16 << 20
+
+// discard reads the rest of a body: closing a connection with unread bytes would
+// reset it, and the caller would lose the answer.
+func (h *Handler) discard(c *call) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(c.request.Body, discardBytes)); err != nil {
+		h.Log.Debug("body not read to its end", "request", c.meta.ID, "error", err)
+	}
+}
+
 // refuse answers a call with a final answer of this system.
 func (h *Handler) refuse(c *call, f *refusal) {
 	h.Metrics.Refused(f.status)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -37,14 +37,21 @@
 	for {
 		view := h.Views.Get()
 		service := view.Service(c.service)
+		loads := h.Board.Loads()
 		targets := h.candidates(view, c)
-		if len(targets) == 0 {
+		warm := h.withoutFullCold(targets, loads)
+		var d *destination
+		var f *refusal
+		switch {
+		case len(targets) == 0:
 			return nil, refuseNoTarget
+		case len(warm) == 0:
+			f = refuseBusy
+		case service == nil || service.Engine == nil || c.meta.PromptTokens == 0:
+			d = h.placePlain(warm, loads, c)
+		default:
+			d, f = h.placeEngine(service.Engine, warm, loads, c)
 		}
-		if service == nil || service.Engine == nil || c.meta.PromptTokens == 0 {
-			return h.placePlain(targets, c)
-		}
-		d, f := h.placeEngine(service.Engine, targets, c)
 		if d != nil || !h.mayHold(c, f) {
 			return d, f
 		}
@@ -81,6 +88,18 @@
 	return targets
 }
 
+// withoutFullCold leaves out the cold targets that have all that they bear.
+func (h *Handler) withoutFullCold(targets []*topology.Target, loads inflight.Loads) []*topology.Target {
+	now := time.Now()
+	var warm []*topology.Target
+	for _, t := range targets {
+		if !t.Cold(now) || !h.coldFull(t, loads.Of(t.ID)) {
+			warm = append(warm, t)
+		}
+	}
+	return warm
+}
+
 // Weights of the choice of a plain target.
 const (
 	plainFailCost  = 2.0
@@ -90,12 +109,13 @@
 )
 
 // placePlain chooses the target with the fewest requests for its slots.
-func (h *Handler) placePlain(targets []*topology.Target, c *call) (*destination, *refusal) {
-	loads := h.Board.Loads()
+func (h *Handler) placePlain(targets []*topology.Target, loads inflight.Loads, c *call) *destination {
 	now := time.Now()
 	var best *topology.Target
 	bestCost := 0.0
-	for _, t := range targets {
+	first := rand.IntN(len(targets)) // spreads targets of equal cost
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
 		v := h.Health.Verdict(t.ID, now)
 		cost := float64(len(loads.Of(t.ID).Items))/float64(t.Slots) + plainFailCost*v.FailRate
 		if v.Avoid {
@@ -111,15 +131,15 @@
 			best, bestCost = t, cost
 		}
 	}
-	return &destination{target: best, firstEvent: c.route.Objective}, nil
+	return &destination{target: best, firstEvent: c.route.Objective}
 }
 
 // placeEngine chooses an engine, and helpers for a long prompt.
-func (h *Handler) placeEngine(model *topology.EngineModel, targets []*topology.Target, c *call) (*destination, *refusal) {
+func (h *Handler) placeEngine(model *topology.EngineModel, targets []*topology.Target, loads inflight.Loads, c *call) (*destination, *refusal) {
 	if c.meta.PromptTokens+c.meta.AnswerTokens > len(targets)*model.MemoryTokens {
 		return nil, refuseNeverFits
 	}
-	engines := h.engines(targets)
+	engines := h.engines(targets, loads)
 	job := placement.Job{
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.AnswerTokens,
 		PauseLimit: c.route.PauseLimit, Objective: c.route.Objective, Waited: time.Since(c.arrived), Left: c.left(),
@@ -135,8 +155,7 @@
 }
 
 // engines describes the engines among which to choose.
-func (h *Handler) engines(targets []*topology.Target) []placement.Engine {
-	loads := h.Board.Loads()
+func (h *Handler) engines(targets []*topology.Target, loads inflight.Loads) []placement.Engine {
 	now := time.Now()
 	engines := make([]placement.Engine, 0, len(targets))
 	for _, t := range targets {
@@ -145,32 +164,40 @@
 		engines = append(engines, placement.Engine{
 			Target: t, Items: load.Items, Parts: load.Parts, Pace: v.Pace,
 			FailRate: v.FailRate, Avoid: v.Avoid, Doubted: v.Doubted, Away: t.Zone != h.Zone,
-			Full: t.Cold(now) && h.coldFull(t, load, now),
 		})
 	}
 	return engines
 }
 
+// Parts of a cold target's rate that are used. VMs hear of each other's requests
+// late, or not at all while links are cut.
+const (
+	coldKnownShare = 0.5 // by all requests known of
+	coldOwnShare   = 1.0 // by each VM's equal part
+	// coldOwnMin lets a VM of a large fleet use a cold target at all.
+	coldOwnMin = 1
+)
+
 // coldFull reports whether a cold target has got all the requests of the last
-// second that it bears, as far as this VM knows.
-func (h *Handler) coldFull(t *topology.Target, load inflight.Load, _ time.Time) bool {
+// second that it bears.
+func (h *Handler) coldFull(t *topology.Target, load inflight.Load) bool {
 	service := h.Views.Get().Service(t.Service)
 	if service == nil || service.ColdRate <= 0 {
 		return false
 	}
-	recent := 0
+	known := 0
 	for _, i := range slices.Concat(load.Items, load.Parts) {
 		if i.Age < time.Second {
-			recent++
+			known++
 		}
 	}
-	return float64(recent) >= coldShare*service.ColdRate
+	if float64(known) >= coldKnownShare*service.ColdRate {
+		return true
+	}
+	own := max(coldOwnShare*service.ColdRate/float64(max(h.VMs(), 1)), coldOwnMin)
+	return float64(h.Board.OwnSends(t.ID)) >= own
 }
 
-// coldShare is the part of a cold target's rate that is used: VMs do not know
-// of each other's latest requests, and of those that have ended.
-const coldShare = 0.5
-
 // reading returns the time for which an engine still reads prompts, as far as
 // this VM knows.
 func (h *Handler) reading(t *topology.Target) time.Duration {
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -291,7 +291,9 @@
 		return lost, errors.New("a whole answer came where the rest of a stream was expected")
 	}
 	header := h.Protocol.AnswerHeader(e.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if len(body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	whole := &wholeAnswer{status: e.StatusCode, header: header, body: body}
 	if !success && e.StatusCode >= 500 {
 		c.failure = whole
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -71,6 +71,9 @@
 	mu    sync.Mutex
 	own   map[*Running]struct{}
 	peers map[string]peerJobs
+	// sends are the times of this VM's sends to each target in the last second,
+	// also of jobs that have ended.
+	sends map[string][]time.Time
 }
 
 type peerJobs struct {
@@ -80,7 +83,7 @@
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{own: map[*Running]struct{}{}, peers: map[string]peerJobs{}}
+	return &Board{own: map[*Running]struct{}{}, peers: map[string]peerJobs{}, sends: map[string][]time.Time{}}
 }
 
 func (b *Board) notify() {
@@ -94,11 +97,39 @@
 	r := &Running{board: b, job: j, started: time.Now()}
 	b.mu.Lock()
 	b.own[r] = struct{}{}
+	b.noteSends(r)
 	b.mu.Unlock()
 	b.notify()
 	return r
 }
 
+// noteSends counts a job at its target and helpers. The lock must be held.
+func (b *Board) noteSends(r *Running) {
+	for _, target := range append([]string{r.job.Target}, r.job.Helpers...) {
+		b.sends[target] = append(recent(b.sends[target], r.started), r.started)
+	}
+}
+
+// recent returns the times within a second before now. Times are in order.
+func recent(times []time.Time, now time.Time) []time.Time {
+	for len(times) > 0 && now.Sub(times[0]) >= time.Second {
+		times = times[1:]
+	}
+	return times
+}
+
+// OwnSends returns how many requests this VM sent to a target in the last
+// second.
+func (b *Board) OwnSends(target string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	times := recent(b.sends[target], time.Now())
+	if len(times) == 0 {
+		delete(b.sends, target)
+	}
+	return len(times)
+}
+
 // Own returns this VM's jobs.
 func (b *Board) Own() []Item {
 	now := time.Now()
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -24,14 +24,10 @@
 	Pace float64
 	// FailRate estimates the share of requests that fail there.
 	FailRate float64
-	// Avoid is true when the engine did not answer lately, Tried when this
-	// request was sent to it.
+	// Avoid is true when the engine did not answer lately.
 	Avoid bool
-	Tried bool
 	// Doubted is true when another VM cannot reach the engine.
 	Doubted bool
-	// Full is true when the engine is cold and has all that it bears.
-	Full bool
 	// Away is true in another zone than this VM's.
 	Away bool
 }
@@ -60,6 +56,7 @@
 type load struct {
 	Engine
 	pass    time.Duration // without reading
+	writers int
 	backlog time.Duration // reading that is left
 	// parts is the part of the backlog that is read ahead: parts of prompts that
 	// several engines read.
@@ -107,6 +104,7 @@
 		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
 		readers = append(readers, r)
 	}
+	l.writers = writers
 	l.pass = l.paced(enginemodel.Pass(m, max(writers, 1), context))
 	l.backlog = enginemodel.Backlog(readers)
 	if l.free <= 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -109,9 +109,7 @@
 func Choose(m *topology.EngineModel, engines []Engine, job Job) (Plan, bool) {
 	loads := make([]load, 0, len(engines))
 	for _, e := range engines {
-		if !e.Tried && !e.Full {
-			loads = append(loads, summarise(m, e))
-		}
+		loads = append(loads, summarise(m, e))
 	}
 	var best Plan
 	found := false
@@ -231,13 +229,17 @@
 }
 
 // ready predicts the time to the first event of a prompt, or of a part. An
-// engine reads whole prompts in order of arrival, but the newest part first.
+// engine reads whole prompts in order of arrival, but the newest part first. The
+// first event follows the reading; with writers it comes at the end of a pass.
 func (l *load) ready(r reading, part bool) time.Duration {
-	wait := (l.pass + min(l.backlog, l.pass)) / 2 // what is left of the pass that runs
+	wait := l.slotWait + l.paced(r.whole)
+	if l.writers > 0 {
+		wait += (l.pass+min(l.backlog, l.pass))/2 + l.pass // what is left of the pass that runs, and the next
+	}
 	if !part {
 		wait += l.backlog
 	}
-	return l.slotWait + wait + l.paced(r.whole) + l.pass
+	return wait
 }
 
 // harm returns the cost for the requests on the engine: pauses of those that are
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,176 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/topology"
+)
+
+var model = &topology.EngineModel{
+	Slots: 16, MemoryTokens: 232_000, StepsPerPass: 43, Step: 1020 * time.Microsecond, PerWriter: 2260, PerContext: 4310,
+	ReadRate: 206_000, PerMillionPairs: 138 * time.Microsecond, ChunkTokens: 2048,
+}
+
+const (
+	shortPause = 250 * time.Millisecond
+	longPause  = time.Second
+)
+
+func shortJob() Job {
+	return Job{PromptTokens: 5000, AnswerTokens: 1300, PauseLimit: shortPause, Objective: 300 * time.Millisecond, Left: 10 * time.Second}
+}
+
+func longJob(tokens int) Job {
+	return Job{PromptTokens: tokens, AnswerTokens: 700, PauseLimit: longPause, Objective: 3 * time.Second, Left: 15 * time.Second}
+}
+
+func writing(tokens int, pause time.Duration) inflight.Item {
+	return inflight.Item{Job: inflight.Job{PromptTokens: tokens, AnswerTokens: 1300, PauseLimit: pause}, Age: time.Second, Writing: true, WritingFor: 500 * time.Millisecond}
+}
+
+func unread(tokens int, pause time.Duration) inflight.Item {
+	return inflight.Item{Job: inflight.Job{PromptTokens: tokens, AnswerTokens: 700, PauseLimit: pause}, Age: 50 * time.Millisecond}
+}
+
+func times(n int, i inflight.Item) []inflight.Item {
+	items := make([]inflight.Item, n)
+	for at := range items {
+		items[at] = i
+	}
+	return items
+}
+
+// fleet returns engines with the given requests, named e0, e1 and so on.
+func fleet(items ...[]inflight.Item) []Engine {
+	var engines []Engine
+	for i := range items {
+		engines = append(engines, Engine{Target: &topology.Target{ID: fmt.Sprintf("e%d", i), Slots: 16}, Items: items[i], Pace: 1})
+	}
+	return engines
+}
+
+func choose(t *testing.T, engines []Engine, job Job) Plan {
+	t.Helper()
+	plan, ok := Choose(model, engines, job)
+	assert.Assert(t, ok)
+	return plan
+}
+
+// Load: a burst of short questions. Guards against a request that waits for a
+// slot of a full engine while another engine has slots.
+func TestShortAvoidsFullEngine(t *testing.T) {
+	plan := choose(t, fleet(times(17, writing(5000, shortPause)), nil), shortJob())
+	assert.Equal(t, plan.Target.ID, "e1")
+}
+
+// Load: few short questions beside long prompts. Guards against short streams
+// that are spread over all engines, so that every long prompt harms some.
+func TestShortStreamsShareEngines(t *testing.T) {
+	plan := choose(t, fleet(nil, times(6, writing(5000, shortPause)), nil), shortJob())
+	assert.Equal(t, plan.Target.ID, "e1")
+}
+
+// Load: a burst of short questions at its start. Guards against prompts that all
+// go to the fullest engine, whose reading then takes longer than the objective.
+func TestShortsAvoidReadingQueue(t *testing.T) {
+	queue := append(times(4, writing(5000, shortPause)), times(8, unread(5000, shortPause))...)
+	plan := choose(t, fleet(queue, times(4, writing(5000, shortPause))), shortJob())
+	assert.Equal(t, plan.Target.ID, "e1")
+}
+
+// Load: long prompts beside short streams. Guards against a long prompt whose
+// reading makes the pauses of short streams longer than their limit.
+func TestLongAvoidsShortStreams(t *testing.T) {
+	plan := choose(t, fleet(times(3, writing(5000, shortPause)), times(3, writing(100_000, longPause)), nil), longJob(60_000))
+	assert.Equal(t, plan.Target.ID, "e2")
+	for _, h := range plan.Helpers {
+		assert.Assert(t, h.ID != "e0")
+	}
+}
+
+// Load: prompts beyond an engine's memory. Guards against a prompt that is
+// refused though several engines together could hold it.
+func TestLargePromptIsSplit(t *testing.T) {
+	plan := choose(t, fleet(nil, nil, nil, nil), longJob(400_000))
+	assert.Assert(t, len(plan.Helpers) >= 1)
+	assert.Assert(t, plan.Reserve*(len(plan.Helpers)+1) >= 400_000)
+	_, ok := Choose(model, fleet(nil), longJob(400_000))
+	assert.Assert(t, !ok)
+}
+
+// Load: many long prompts at once. Guards against parts that overtake a prompt
+// which is being read and make it late: engines read the newest part first.
+func TestPartsAvoidUnreadPrompts(t *testing.T) {
+	engines := fleet(times(1, unread(150_000, longPause)), nil, nil)
+	plan := choose(t, engines, longJob(150_000))
+	assert.Assert(t, plan.Target.ID != "e0")
+	for _, h := range plan.Helpers {
+		assert.Assert(t, h.ID != "e0")
+	}
+}
+
+// Load: the largest prompts among many short streams. Guards against a prompt
+// that harms others more than it is worth: it waits, and at the end of its time
+// it is not sent.
+func TestAdvise(t *testing.T) {
+	harmful := Plan{Harm: 110, FirstEvent: 4 * time.Second}
+	job := longJob(459_000)
+	assert.Equal(t, harmful.Advise(job), Hold)
+	job.Waited, job.Left = 9*time.Second, 6*time.Second
+	assert.Equal(t, harmful.Advise(job), Hold)
+	modest := Plan{Harm: 10, FirstEvent: 4 * time.Second}
+	assert.Equal(t, modest.Advise(job), Go)
+	harmless := Plan{Harm: 0.1, FirstEvent: time.Second}
+	assert.Equal(t, harmless.Advise(longJob(100_000)), Go)
+	onTime := Plan{Harm: 3, FirstEvent: 2300 * time.Millisecond}
+	late := longJob(150_000)
+	late.Waited = 200 * time.Millisecond
+	assert.Equal(t, onTime.Advise(late), Go) // waiting longer would make it late
+}
+
+// Guards against work that goes to engines which fail, cannot be reached or are
+// far, while others are free.
+func TestChooseSoundEngine(t *testing.T) {
+	engines := fleet(nil, nil, nil, nil)
+	engines[0].Avoid = true
+	engines[1].FailRate = 0.5
+	engines[2].Doubted = true
+	assert.Equal(t, choose(t, engines, shortJob()).Target.ID, "e3")
+	plan := choose(t, engines, longJob(180_000))
+	for _, h := range plan.Helpers {
+		assert.Assert(t, h.ID != "e0" && h.ID != "e2")
+	}
+	slow := fleet(nil, nil)
+	slow[0].Pace = 5
+	assert.Equal(t, choose(t, slow, longJob(60_000)).Target.ID, "e1")
+}
+
+// Guards against a predictor by which more load makes an engine answer sooner.
+func TestMoreLoadIsNeverSooner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) inflight.Item {
+			pause := rapid.SampledFrom([]time.Duration{shortPause, longPause}).Draw(t, name+" pause")
+			tokens := rapid.IntRange(500, 150_000).Draw(t, name+" tokens")
+			if rapid.Bool().Draw(t, name+" writing") {
+				return writing(tokens, pause)
+			}
+			return unread(tokens, pause)
+		}
+		var items []inflight.Item
+		for i := range rapid.IntRange(0, 14).Draw(t, "items") {
+			items = append(items, draw(fmt.Sprint(i)))
+		}
+		more := append(append([]inflight.Item(nil), items...), draw("extra"))
+		part := newPart(model, rapid.IntRange(500, 200_000).Draw(t, "prompt"), 1)
+		before := summarise(model, Engine{Items: items})
+		after := summarise(model, Engine{Items: more})
+		assert.Assert(t, after.ready(part, false) >= before.ready(part, false))
+		assert.Assert(t, after.harm(part, true) >= 0)
+	})
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -130,10 +130,11 @@
 	p.board.Changed = mesh.Wake
 	dialed := p.metrics.NewCounter("oriole_target_connections_total")
 	p.pool = upstream.NewPool(dialed.Inc)
+	vms := func() int { return mesh.Status().Known + 1 }
 	p.handler = &forward.Handler{
 		Zone: p.vm.Zone, Instance: strconv.FormatUint(rand.Uint64(), 36),
 		Views: p.holder, Protocol: o.Protocol, Pool: p.pool, Board: p.board, Health: p.health, Log: o.Log,
-		Budget:  forward.NewRetryBudget(p.retryLimits, func() int { return mesh.Status().VMs }),
+		Budget: forward.NewRetryBudget(p.retryLimits, vms), VMs: vms,
 		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load,
 	}
 	p.handler.Init()
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a copy that goes back, or that misses changes because it took a
+// delta with a gap before it.
+func TestApply(t *testing.T) {
+	c := New("t")
+	changed, fits := c.Apply(Delta{Table: "t", From: 0, To: 5, Records: []Record{{Key: "a", Version: 5}}})
+	assert.Assert(t, fits)
+	assert.Equal(t, len(changed), 1)
+	_, fits = c.Apply(Delta{Table: "t", From: 7, To: 9})
+	assert.Assert(t, !fits)
+	assert.Equal(t, c.Position(), uint64(5))
+	changed, fits = c.Apply(Delta{Table: "t", From: 0, To: 3, Records: []Record{{Key: "a", Version: 3, Removed: true}}})
+	assert.Assert(t, fits)
+	assert.Equal(t, len(changed), 0)
+	assert.Equal(t, c.Position(), uint64(5))
+}
+
+// Guards against rows that stay after a listing lacks them, and against a
+// listing from a store that is behind.
+func TestReplace(t *testing.T) {
+	c := New("t")
+	c.Replace([]Record{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, 4)
+	changed, fits := c.Replace([]Record{{Key: "b", Version: 2}}, 6)
+	assert.Assert(t, fits)
+	assert.DeepEqual(t, changed, []Record{{Key: "a", Version: 6, Removed: true}})
+	_, fits = c.Replace(nil, 5)
+	assert.Assert(t, !fits)
+	assert.Equal(t, len(c.Rows()), 1)
+}
+
+// Guards against copies that differ after they have heard of the same changes
+// in different ways: by deltas of any start, twice, or from each other.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		origin, other := New("t"), New("t")
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for version := uint64(1); version <= uint64(steps); version++ {
+			r := Record{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: version, Removed: rapid.Bool().Draw(t, "removed")}
+			origin.Apply(Delta{From: version - 1, To: version, Records: []Record{r}})
+			if rapid.Bool().Draw(t, "fetch") {
+				other.Apply(origin.Since(rapid.Uint64Range(0, other.Position()).Draw(t, "from")))
+			}
+		}
+		other.Apply(origin.Since(other.Position()))
+		assert.DeepEqual(t, other.Rows(), origin.Rows())
+		assert.Equal(t, other.Position(), origin.Position())
+	})
+}
--- /dev/null
+++ b/test/gate/fleet_test.go
@@ -0,0 +1,222 @@
+// Package gate tests oriolegate as real processes against stand-ins of the
+// users' platform on loopback.
+package gate
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/tcp"
+	"github.com/oriolefront/oriolefront/platform"
+	"github.com/oriolefront/oriolefront/platform/standin"
+)
+
+const (
+	zone    = "iasi"
+	host    = "library.example"
+	key     = "key-of-anna"
+	timeout = 8 * time.Second // for what should come at once
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "gate")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "oriolegate")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/oriolefront/oriolefront/cmd/oriolegate").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// vm is a running process.
+type vm struct {
+	t         *testing.T
+	name      string
+	callers   string
+	readiness string
+	metrics   string
+	settings  string
+	command   *exec.Cmd
+	log       *syncBuffer
+	exited    chan error
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	address, err := tcp.FreeLoopback()
+	assert.NilError(t, err)
+	return address
+}
+
+// startVM starts a process and waits until it is ready, unless the store lacks
+// a configuration.
+func startVM(t *testing.T, store interface{ Address() string }, name string, ready bool) *vm {
+	v := &vm{t: t, name: name, callers: freePort(t), readiness: freePort(t), metrics: freePort(t),
+		settings: filepath.Join(t.TempDir(), name+".toml"), log: &syncBuffer{}, exited: make(chan error, 1)}
+	text := fmt.Sprintf(`
+[vm]
+name = %q
+zone = %q
+[listen]
+callers = %q
+readiness = %q
+links = %q
+datagrams = %q
+metrics = %q
+[store]
+address = %q
+[memory]
+limit-mb = 284
+[stop]
+grace = "4s"
+`, name, zone, v.callers, v.readiness, freePort(t), freePort(t), v.metrics, store.Address())
+	assert.NilError(t, os.WriteFile(v.settings, []byte(text), 0o600))
+	v.command = exec.Command(binary)
+	v.command.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
+	v.command.Stdout, v.command.Stderr = v.log, v.log
+	assert.NilError(t, v.command.Start())
+	go func() { v.exited <- v.command.Wait() }()
+	t.Cleanup(func() {
+		v.command.Process.Kill()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, v.log)
+		}
+	})
+	if ready {
+		eventually(t, "ready", v.ready)
+	}
+	return v
+}
+
+func (v *vm) ready() bool {
+	resp, err := http.Get("http://" + v.readiness + "/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (v *vm) signal(s syscall.Signal) { assert.NilError(v.t, v.command.Process.Signal(s)) }
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", timeout, what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set when the answer broke off.
+	err error
+}
+
+// send makes a request to a VM. Headers are pairs of name and value.
+func (v *vm) send(method, path, body string, headers ...string) answer {
+	v.t.Helper()
+	r, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
+	assert.NilError(v.t, err)
+	r.Host = host
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("Oriolefront-Attempt-Id", fmt.Sprintf("id-%d", time.Now().UnixNano()))
+	r.Header.Set("Oriolefront-Deadline-Ms", "3000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		if headers[i+1] == "" {
+			r.Header.Del(headers[i])
+			continue
+		}
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+// configuration returns a configuration with a route of each kind.
+func configuration(version int) map[string]any {
+	route := func(name, kind string, targets int, more map[string]any) map[string]any {
+		r := map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 3000,
+			"sloMs": 300, "service": "desk", "maxAttempts": targets}
+		for k, x := range more {
+			r[k] = x
+		}
+		return r
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("safe", "safe", 2, nil),
+			route("once", "unsafe", 1, nil),
+			route("stream", "streaming", 2, map[string]any{"resumable": true, "gapTargetMs": 250}),
+			route("open", "safe", 2, map[string]any{"public": true}),
+		},
+		"services": []any{map[string]any{"name": "desk", "healthPath": "/health", "maxConns": 50}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []any{map[string]any{"name": "anna", "apiKeys": []string{key}}},
+	}
+}
+
+// newStore returns a store with a configuration and the given targets.
+func newStore(t *testing.T, targets ...*standin.Target) *standin.Store {
+	s := standin.NewStore()
+	t.Cleanup(s.CloseClientConnections)
+	s.Put(platform.OperatorTable, "config", configuration(1))
+	for _, target := range targets {
+		s.Put(platform.TargetsTable, target.ID, target.Row(zone, "ready"))
+	}
+	return s
+}
+
+func newTarget(t *testing.T, id string, reply standin.Reply) *standin.Target {
+	target := standin.NewTarget(id, "desk", reply)
+	t.Cleanup(target.Close)
+	return target
+}
