--- a/test/gate/fleet_test.go
+++ b/test/gate/fleet_test.go
@@ -85,6 +85,13 @@
 	return address
 }
 
+// datagramAddress returns a free address for datagrams. It is on another
+// loopback address because a test holds the UDP ports of its free TCP ports.
+func datagramAddress(t *testing.T) string {
+	t.Helper()
+	return strings.Replace(freePort(t), "127.0.0.1", "127.0.0.2", 1)
+}
+
 // startVM starts a process and waits until it is ready, unless the store lacks
 // a configuration.
 func startVM(t *testing.T, store interface{ Address() string }, name string, ready bool) *vm {
@@ -106,7 +113,7 @@
 limit-mb = 284
 [stop]
 grace = "4s"
-`, name, zone, v.callers, v.readiness, freePort(t), freePort(t), v.metrics, store.Address())
+`, name, zone, v.callers, v.readiness, freePort(t), datagramAddress(t), v.metrics, store.Address())
 	assert.NilError(t, os.WriteFile(v.settings, []byte(text), 0o600))
 	v.command = exec.Command(binary)
 	v.command.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
@@ -120,7 +127,14 @@
 		}
 	})
 	if ready {
-		eventually(t, "ready", v.ready)
+		eventually(t, "ready", func() bool {
+			select {
+			case err := <-v.exited:
+				t.Fatalf("%s ended: %v", name, err)
+			default:
+			}
+			return v.ready()
+		})
 	}
 	return v
 }
