Do not use loans from before a relapse

Nothing is granted after a relapse until the list of attempts is known; this now holds for earlier loans too, which go back instead.

--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -72,6 +72,9 @@
 	if !now.Before(n.expires) || b.fences[n.seat] > n.epoch {
 		return false
 	}
+	if n.stage.Start == b.warmth.stage.Start && n.stage.Relapses != b.warmth.stage.Relapses {
+		return false // granted before a relapse, after which nothing is granted
+	}
 	return n.cold || (fresh && n.stage.sameWarmth(b.warmth.stage))
 }
 
