Spread large configurations from VM to VM, compressed, and from the store

VMs now ask a random VM that has it, after a random time, and the store when that fails; views of one configuration share its index. A test assumed that both tables arrive together; it now waits for both within the same bound of 2 s.

--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -1,8 +1,14 @@
 package peers
 
 import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/replica"
 )
@@ -16,9 +22,37 @@
 	After uint64 `msgpack:"a"`
 }
 
-// changesReply answers a changesRequest.
+// changesReply answers a changesRequest with a compressed replica.Delta: a large
+// configuration goes to many VMs over narrow links.
 type changesReply struct {
-	Delta replica.Delta `msgpack:"d"`
+	Delta []byte `msgpack:"z"`
+}
+
+// maxDeltaBytes bounds a delta after decompression.
+const maxDeltaBytes = 64 << 20
+
+func encodeDelta(d replica.Delta) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := msgpack.NewEncoder(w).Encode(d); err != nil {
+		return nil, fmt.Errorf("encode changes: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress changes: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+func decodeDelta(data []byte) (replica.Delta, error) {
+	var d replica.Delta
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDeltaBytes)
+	if err := msgpack.NewDecoder(r).Decode(&d); err != nil {
+		return d, fmt.Errorf("decode changes: %w", err)
+	}
+	return d, nil
 }
 
 // heartbeat is a datagram with everything that a VM tells of itself. Each one
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,9 +34,8 @@
 	// ended.
 	lostAfter = 2 * time.Second
 	// forgetAfter is the silence after which a VM is not sent to any more.
-	forgetAfter  = 5 * time.Minute
-	fetchTimeout = 700 * time.Millisecond
-	maxDatagram  = 60 << 10
+	forgetAfter = 5 * time.Minute
+	maxDatagram = 60 << 10
 )
 
 // Self describes this VM.
@@ -54,6 +53,7 @@
 	board   *inflight.Board
 	copies  map[string]*replica.Copy
 	merge   func(replica.Delta)
+	refresh func(ctx context.Context, table string) error
 	contact func() time.Time // last answer of the store
 	doubts  Doubts
 
@@ -98,6 +98,8 @@
 	Copies []*replica.Copy
 	// Merge takes changes that another VM has sent.
 	Merge func(replica.Delta)
+	// Refresh reads the changes of a table from the store.
+	Refresh func(ctx context.Context, table string) error
 	// StoreContact returns when the store last answered this VM.
 	StoreContact func() time.Time
 	Doubts       Doubts
@@ -114,7 +116,7 @@
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
 	}
 	m := &Mesh{
-		self: o.Self, log: o.Log, board: o.Board, merge: o.Merge, contact: o.StoreContact, doubts: o.Doubts,
+		self: o.Self, log: o.Log, board: o.Board, merge: o.Merge, refresh: o.Refresh, contact: o.StoreContact, doubts: o.Doubts,
 		copies: map[string]*replica.Copy{}, conn: conn, started: rand.Uint64(),
 		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
 		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
@@ -318,71 +320,6 @@
 	}
 }
 
-// fetchNewer fetches the changes of tables of which the sender knows more.
-func (m *Mesh) fetchNewer(ctx context.Context, h heartbeat) {
-	for table, position := range h.Positions {
-		c := m.copies[table]
-		if c == nil || position <= c.Position() || !m.beginFetch(table) {
-			continue
-		}
-		go func() {
-			defer m.endFetch(table)
-			m.fetch(ctx, h, c)
-		}()
-	}
-}
-
-func (m *Mesh) beginFetch(table string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.fetching[table] {
-		return false
-	}
-	m.fetching[table] = true
-	return true
-}
-
-func (m *Mesh) endFetch(table string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.fetching, table)
-}
-
-// ownReadHead is the time given to this VM's own watch of the store before it
-// asks another VM for the same changes.
-const ownReadHead = 30 * time.Millisecond
-
-func (m *Mesh) fetch(ctx context.Context, h heartbeat, c *replica.Copy) {
-	time.Sleep(ownReadHead)
-	if c.Position() >= h.Positions[c.Table()] {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var reply changesReply
-	if err := m.client.Call(ctx, h.Links, kindChanges, changesRequest{Table: c.Table(), After: c.Position()}, &reply); err != nil {
-		m.log.Warn("changes not fetched from peer", "peer", h.From, "table", c.Table(), "error", err)
-		return
-	}
-	before := c.Position()
-	m.merge(reply.Delta)
-	m.log.Info("changes fetched from peer", "peer", h.From, "table", c.Table(),
-		"from", before, "to", c.Position(), "records", len(reply.Delta.Records))
-}
-
-// changes answers a changesRequest.
-func (m *Mesh) changes(_ context.Context, payload []byte) (any, error) {
-	var request changesRequest
-	if err := msgpack.Unmarshal(payload, &request); err != nil {
-		return nil, fmt.Errorf("decode: %w", err)
-	}
-	c := m.copies[request.Table]
-	if c == nil {
-		return nil, fmt.Errorf("table %q is not copied here", request.Table)
-	}
-	return changesReply{Delta: c.Since(request.After)}, nil
-}
-
 // Status is what the mesh knows of the fleet.
 type Status struct {
 	// VMs counts the VMs heard, this one included.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -121,7 +121,7 @@
 		Self: peers.Self{Name: o.Settings.VM.Name, Zone: o.Settings.VM.Zone,
 			Datagrams: o.Settings.Listen.Datagrams, Links: o.Settings.Listen.Links},
 		Log: o.Log, Board: p.board, Copies: []*replica.Copy{p.operator.Copy, p.targets.Copy},
-		Merge: p.merge, StoreContact: p.storeContact, Doubts: p.health,
+		Merge: p.merge, Refresh: p.refresh, StoreContact: p.storeContact, Doubts: p.health,
 	})
 	if err != nil {
 		return nil, err
@@ -157,9 +157,23 @@
 	return forward.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}
 }
 
+// refresh reads the changes of a table from the store.
+func (p *Process) refresh(ctx context.Context, table string) error {
+	for _, f := range p.followers() {
+		if f.Copy.Table() == table {
+			return f.Refresh(ctx)
+		}
+	}
+	return fmt.Errorf("table %q is not copied here", table)
+}
+
+func (p *Process) followers() []*storesync.Follower {
+	return []*storesync.Follower{p.operator, p.targets}
+}
+
 // merge takes changes that another VM has sent.
 func (p *Process) merge(d replica.Delta) {
-	for _, f := range []*storesync.Follower{p.operator, p.targets} {
+	for _, f := range p.followers() {
 		if f.Copy.Table() == d.Table {
 			f.Merge(d)
 		}
--- a/internal/process/views.go
+++ b/internal/process/views.go
@@ -173,5 +173,9 @@
 	for zone := range v.zonesOut {
 		zones[zone] = true
 	}
+	if now := v.holder.Get(); now.Config == v.config {
+		v.holder.Set(now.With(targets, zones))
+		return
+	}
 	v.holder.Set(topology.NewView(v.config, targets, zones))
 }
--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -154,6 +154,22 @@
 	return nil
 }
 
+// Refresh reads the changes that the store has now.
+func (f *Follower) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	delta, err := f.Store.Watch(ctx, f.Copy.Table(), f.Copy.Position(), 0)
+	if errors.Is(err, ErrHistoryLost) {
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.heard()
+	f.Merge(delta)
+	return nil
+}
+
 // Merge applies changes that came from the store or from another VM.
 func (f *Follower) Merge(d replica.Delta) {
 	changed, fits := f.Copy.Apply(d)
--- a/internal/topology/view.go
+++ b/internal/topology/view.go
@@ -8,13 +8,20 @@
 
 // View is everything that a request is decided by, as of one moment.
 type View struct {
-	// Config is nil until a configuration is known.
-	Config *Config
+	*configIndex
 	// ZonesOut are the zones whose targets get no new work.
 	ZonesOut map[string]bool
 
-	targets  []*Target
-	usable   map[string][]*Target
+	targets []*Target
+	usable  map[string][]*Target
+}
+
+// configIndex is a configuration with what is looked up in it. Views of the same
+// configuration share it.
+type configIndex struct {
+	// Config is nil until a configuration is known.
+	Config *Config
+
 	services map[string]*Service
 	hosts    map[string][]*Route // longest prefix first
 	keys     map[string]*Account
@@ -22,25 +29,31 @@
 
 // NewView indexes the parts of a view.
 func NewView(config *Config, targets []*Target, zonesOut map[string]bool) *View {
-	v := &View{
-		Config: config, ZonesOut: zonesOut, targets: targets,
-		usable:   map[string][]*Target{},
-		services: map[string]*Service{},
-		hosts:    map[string][]*Route{},
-		keys:     map[string]*Account{},
-	}
+	return newView(indexConfig(config), targets, zonesOut)
+}
+
+// With returns a view of the same configuration with other targets and zones.
+func (v *View) With(targets []*Target, zonesOut map[string]bool) *View {
+	return newView(v.configIndex, targets, zonesOut)
+}
+
+func newView(index *configIndex, targets []*Target, zonesOut map[string]bool) *View {
+	v := &View{configIndex: index, ZonesOut: zonesOut, targets: targets, usable: map[string][]*Target{}}
 	for _, t := range targets {
 		if !t.Draining && !zonesOut[t.Zone] {
 			v.usable[t.Service] = append(v.usable[t.Service], t)
 		}
 	}
-	if config != nil {
-		v.indexConfig()
-	}
 	return v
 }
 
-func (v *View) indexConfig() {
+func indexConfig(config *Config) *configIndex {
+	v := &configIndex{
+		Config: config, services: map[string]*Service{}, hosts: map[string][]*Route{}, keys: map[string]*Account{},
+	}
+	if config == nil {
+		return v
+	}
 	for i := range v.Config.Services {
 		s := &v.Config.Services[i]
 		v.services[s.Name] = s
@@ -60,6 +73,7 @@
 			v.keys[key] = a
 		}
 	}
+	return v
 }
 
 // Route returns the route of a request, or nil. The path is as the caller sent
--- a/test/gate/changes_test.go
+++ b/test/gate/changes_test.go
@@ -36,6 +36,7 @@
 			eventually(t, "the new key holds", func() bool {
 				return refused.send("GET", "/safe/x", "", "Authorization", "Token another").status == 200
 			})
+			eventually(t, "the target is known to leave", func() bool { return strings.Contains(refused.log.String(), "draining=true") })
 			assert.Assert(t, time.Since(changed) < 2*time.Second, "took %v", time.Since(changed))
 			before := len(a.Arrivals())
 			for range 8 {
