--- /dev/null
+++ b/internal/forward/limits_test.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/topology"
+)
+
+// Guards against repeats of all VMs together beyond the limit: each VM takes its
+// part of the slack only.
+func TestRetryBudget(t *testing.T) {
+	limits := RetryLimits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}
+	b := NewRetryBudget(func() RetryLimits { return limits }, func() int { return 9 })
+	taken := 0
+	for b.Take("s") {
+		taken++
+	}
+	assert.Equal(t, taken, 7) // 0.7 x 90 / 9
+	for range 100 {
+		b.OnRequest("s")
+	}
+	for b.Take("s") {
+		taken++
+	}
+	assert.Equal(t, taken, 21) // 0.7 x (0.2 x 100 + 90 / 9)
+	assert.Assert(t, b.Take("other"))
+}
+
+// Guards against a target that gets work while it cannot be reached, and one
+// that is avoided for good.
+func TestHealth(t *testing.T) {
+	h := NewHealth()
+	h.Note("a", notSent, 0)
+	now := time.Now()
+	assert.Assert(t, h.Verdict("a", now).Avoid)
+	assert.Assert(t, !h.Verdict("a", now.Add(unreachableMax)).Avoid)
+	for range 10 {
+		h.Note("a", lost, 0)
+	}
+	assert.Assert(t, !h.Verdict("a", time.Now().Add(unreachableMax+time.Millisecond)).Avoid)
+	h.Note("a", delivered, 0)
+	assert.Assert(t, !h.Verdict("a", time.Now()).Avoid)
+
+	for range 4 {
+		h.Note("grey", failed, 0)
+	}
+	v := h.Verdict("grey", time.Now())
+	assert.Assert(t, v.FailRate > 0.5 && !v.Avoid)
+	assert.Assert(t, h.Verdict("grey", time.Now().Add(time.Minute)).FailRate < 0.1)
+
+	h.NotePeers([]string{"b"})
+	assert.Assert(t, h.Verdict("b", time.Now()).Doubted)
+	assert.Assert(t, !h.Verdict("b", time.Now().Add(peerWord)).Doubted)
+	h.Gone("b")
+	assert.Assert(t, h.Verdict("b", time.Now()).Gone)
+	h.Retain(func(string) bool { return false })
+	assert.DeepEqual(t, h.Verdict("b", time.Now()), Verdict{Pace: 1})
+}
+
+// Guards against shares of a route that get requests out of proportion, and a
+// request that goes to another service when it is looked at again.
+func TestPickShare(t *testing.T) {
+	shares := []topology.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "none", Weight: 0}}
+	counts := map[string]int{}
+	for i := range 5000 {
+		id := time.Duration(i).String()
+		s := pickShare(shares, id)
+		assert.Equal(t, pickShare(shares, id), s)
+		counts[s]++
+	}
+	assert.Assert(t, counts["b"] > 350 && counts["b"] < 650, "%v", counts)
+	assert.Equal(t, counts["none"], 0)
+}
+
+// Guards against events that are passed on twice after a stream went on at
+// another target.
+func TestNewer(t *testing.T) {
+	assert.Assert(t, newer("1", ""))
+	assert.Assert(t, newer("10", "9"))
+	assert.Assert(t, !newer("9", "10"))
+	assert.Assert(t, !newer("9", "9"))
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,123 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/replica"
+	"github.com/oriolefront/oriolefront/internal/tcp"
+)
+
+type noDoubts struct{}
+
+func (noDoubts) Avoided() []string  { return nil }
+func (noDoubts) NotePeers([]string) {}
+
+type node struct {
+	mesh  *Mesh
+	board *inflight.Board
+	copy  *replica.Copy
+	at    string
+}
+
+func start(t *testing.T, name string) *node {
+	links, err := tcp.FreeLoopback()
+	assert.NilError(t, err)
+	n := &node{board: inflight.New(), copy: replica.New("t"), at: strings.Replace(links, "127.0.0.1", "127.0.0.3", 1)}
+	n.mesh, err = New(Options{
+		Self: Self{Name: name, Zone: "z", Datagrams: n.at, Links: links},
+		Log:  slog.New(slog.NewTextHandler(io.Discard, nil)), Board: n.board, Copies: []*replica.Copy{n.copy},
+		Merge:        func(d replica.Delta) { n.copy.Apply(d) },
+		Refresh:      func(context.Context, string) error { return errors.New("no store") },
+		StoreContact: func() time.Time { return time.Time{} },
+		Doubts:       noDoubts{},
+	})
+	assert.NilError(t, err)
+	n.board.Changed = n.mesh.Wake
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		n.mesh.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		n.mesh.Close()
+	})
+	return n
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatal("not within 5 s: " + what)
+}
+
+// Guards against VMs that do not know of each other's requests in flight, or
+// count those of a VM that is gone.
+func TestJobsAreShared(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	a.mesh.Add(b.at)
+	eventually(t, "both heard", func() bool { return a.mesh.Status().VMs == 2 && b.mesh.Status().VMs == 2 })
+	job := inflight.Job{Target: "e1", Helpers: []string{"e2"}, Reserved: true, PromptTokens: 7, AnswerTokens: 8, PauseLimit: time.Second}
+	running := a.board.Start(job)
+	eventually(t, "b knows", func() bool { return len(b.board.Loads().Of("e1").Items) == 1 })
+	assert.DeepEqual(t, b.board.Loads().Of("e1").Items[0].Job, job)
+	assert.Equal(t, len(b.board.Loads().Of("e2").Parts), 1)
+	running.FirstEvent()
+	eventually(t, "b knows of the first event", func() bool {
+		items := b.board.Loads().Of("e1").Items
+		return len(items) == 1 && items[0].Writing
+	})
+	running.Done()
+	eventually(t, "b knows of the end", func() bool { return len(b.board.Loads()) == 0 })
+	a.board.Start(job)
+	eventually(t, "b knows again", func() bool { return len(b.board.Loads()) > 0 })
+	a.mesh.conn.Close() // a falls silent
+	eventually(t, "the jobs of a silent VM end", func() bool { return len(b.board.Loads()) == 0 })
+	assert.Assert(t, !b.mesh.Status().Heard)
+	assert.Equal(t, b.mesh.Status().Known, 1)
+}
+
+// Guards against a VM that stays behind: it fetches changes that others know of,
+// also large ones.
+func TestChangesSpread(t *testing.T) {
+	a, b, c := start(t, "a"), start(t, "b"), start(t, "c")
+	a.mesh.Add(b.at)
+	b.mesh.Add(c.at)
+	large := []byte(strings.Repeat("route ", 80_000))
+	a.copy.Replace([]replica.Record{{Key: "config", Value: large, Version: 4}}, 5)
+	a.mesh.Wake()
+	eventually(t, "c has what a has", func() bool { return c.copy.Position() == 5 })
+	assert.Equal(t, string(c.copy.Rows()[0].Value), string(large))
+}
+
+// Guards against old datagrams that replace newer ones.
+func TestOldHeartbeatsAreIgnored(t *testing.T) {
+	a := start(t, "a")
+	item := []jobMessage{{Target: "e1"}}
+	beat := func(started, sequence uint64, jobs []jobMessage) {
+		a.mesh.accept(t.Context(), heartbeat{From: "x", Started: started, Sequence: sequence, Datagrams: "127.0.0.9:9", Jobs: jobs})
+	}
+	beat(1, 5, item)
+	assert.Equal(t, len(a.board.Loads()), 1)
+	beat(1, 4, nil)
+	assert.Equal(t, len(a.board.Loads()), 1, "an older heartbeat")
+	beat(2, 1, nil)
+	assert.Equal(t, len(a.board.Loads()), 0, "a new start")
+	beat(1, 6, item)
+	assert.Equal(t, len(a.board.Loads()), 0, "a heartbeat from before the new start")
+}
--- /dev/null
+++ b/internal/storesync/storesync_test.go
@@ -0,0 +1,99 @@
+package storesync
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/replica"
+)
+
+// fakeStore answers by functions that a test sets.
+type fakeStore struct {
+	mu    sync.Mutex
+	list  func() ([]replica.Record, uint64, error)
+	watch func(after uint64) (replica.Delta, error)
+	lists int
+}
+
+func (f *fakeStore) List(context.Context, string) ([]replica.Record, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists++
+	return f.list()
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (replica.Delta, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watch(after)
+}
+
+func (f *fakeStore) Put(context.Context, string, string, []byte) error { return nil }
+func (f *fakeStore) Remove(context.Context, string, string) error      { return nil }
+
+func newFollower(s *fakeStore, changed func([]replica.Record)) *Follower {
+	return &Follower{Store: s, Copy: replica.New("t"), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Changed: changed, Reading: func() bool { return true }}
+}
+
+// Guards against changes that are missed when the store drops its history: the
+// table is listed again, and rows that the listing lacks are gone.
+func TestListAfterLostHistory(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &fakeStore{}
+	s.list = func() ([]replica.Record, uint64, error) {
+		if s.lists == 1 {
+			return []replica.Record{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, 2, nil
+		}
+		return []replica.Record{{Key: "b", Version: 2}}, 9, nil
+	}
+	s.watch = func(after uint64) (replica.Delta, error) {
+		if after < 9 {
+			return replica.Delta{}, ErrHistoryLost
+		}
+		cancel()
+		return replica.Delta{}, ctx.Err()
+	}
+	f := newFollower(s, func([]replica.Record) {})
+	f.Run(ctx)
+	assert.Equal(t, len(f.Copy.Rows()), 1)
+	assert.Equal(t, f.Copy.Position(), uint64(9))
+}
+
+// Guards against a follower that takes the store for reached while its calls
+// fail, and against a busy loop on a store that refuses every call.
+func TestLostStore(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+	defer cancel()
+	s := &fakeStore{list: func() ([]replica.Record, uint64, error) { return nil, 0, &RefusedError{Status: 429, Path: "/list"} }}
+	f := newFollower(s, nil)
+	f.Run(ctx)
+	assert.Assert(t, f.Lost())
+	assert.Assert(t, f.LastContact().IsZero())
+	assert.Assert(t, s.lists >= 2 && s.lists <= 8, "%d calls", s.lists)
+}
+
+// Guards against a VM that keeps an old copy because it leaves reading to
+// others: it asks the store itself when told to.
+func TestRefresh(t *testing.T) {
+	var got []replica.Record
+	s := &fakeStore{watch: func(after uint64) (replica.Delta, error) {
+		return replica.Delta{From: after, To: 4, Records: []replica.Record{{Key: "a", Version: 4}}}, nil
+	}}
+	f := newFollower(s, func(r []replica.Record) { got = r })
+	assert.NilError(t, f.Refresh(t.Context()))
+	assert.Equal(t, len(got), 1)
+	s.watch = func(uint64) (replica.Delta, error) { return replica.Delta{}, errors.New("reset") }
+	assert.ErrorContains(t, f.Refresh(t.Context()), "reset")
+	s.watch = func(uint64) (replica.Delta, error) { return replica.Delta{}, ErrHistoryLost }
+	s.list = func() ([]replica.Record, uint64, error) { return nil, 7, nil }
+	assert.NilError(t, f.Refresh(t.Context()))
+	assert.Equal(t, len(f.Copy.Rows()), 0)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,176 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// peer plays a target: script runs on each connection.
+func peer(t *testing.T, script func(c net.Conn, r *bufio.Reader, n int)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(c, bufio.NewReader(c), n)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(t *testing.T, r *bufio.Reader) *http.Request {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	io.Copy(io.Discard, req.Body)
+	return req
+}
+
+func get(id string) Request {
+	return Request{Method: "GET", URI: "/" + id, Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+// do sends a request and reads the whole answer.
+func do(t *testing.T, p *Pool, address, id string) (string, error) {
+	e, err := p.Do(t.Context(), "target", address, get(id), false, func(h http.Header) bool { return h.Get("Id") == id })
+	if err != nil {
+		return "", err
+	}
+	defer e.Close()
+	body, err := io.ReadAll(e.Body)
+	if err == nil {
+		e.Complete()
+	}
+	return string(body), err
+}
+
+func write(c net.Conn, id, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against a connection per request, and against use of a kept one after
+// its target has closed it or its time is over.
+func TestConnectionsAreKept(t *testing.T) {
+	dialed := 0
+	p := NewPool(func() { dialed++ })
+	address := peer(t, func(c net.Conn, r *bufio.Reader, n int) {
+		for i := 0; ; i++ {
+			req := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			write(c, req.Header.Get("Id"), "ok")
+			if n == 0 && i == 2 {
+				return
+			}
+		}
+	})
+	for i := range 3 {
+		_, err := do(t, p, address, fmt.Sprint(i))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, dialed, 1)
+	time.Sleep(50 * time.Millisecond) // the target's close arrives
+	_, err := do(t, p, address, "after")
+	assert.NilError(t, err)
+	assert.Equal(t, dialed, 2)
+	p.Sweep(func(string) bool { return false })
+	_, err = do(t, p, address, "swept")
+	assert.NilError(t, err)
+	assert.Equal(t, dialed, 3)
+}
+
+// Guards against a late answer to an earlier request that is taken for the next.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		for {
+			req := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			id := req.Header.Get("Id")
+			if id == "two" {
+				write(c, "one", "late")
+			}
+			write(c, id, "for "+id)
+		}
+	})
+	p := NewPool(nil)
+	for _, id := range []string{"one", "two", "three"} {
+		body, err := do(t, p, address, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "for "+id)
+	}
+}
+
+// Guards against failures that do not tell whether the target may have got the
+// request.
+func TestErrorTellsWhetherSent(t *testing.T) {
+	closing := peer(t, func(_ net.Conn, r *bufio.Reader, _ int) { readRequest(t, r) })
+	p := NewPool(nil)
+	_, err := do(t, p, closing, "x")
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l.Close()
+	_, err = do(t, p, l.Addr().String(), "x")
+	assert.Assert(t, errors.As(err, &failure) && !failure.Sent, "%v", err)
+	assert.Assert(t, !p.Reach(l.Addr().String()))
+	assert.Assert(t, p.Reach(closing))
+}
+
+// Guards against other bytes in place of the rest of a body: a target may answer
+// before it has read a long body, and the connection is not used again then.
+func TestEarlyAnswerSpoilsConnection(t *testing.T) {
+	address := peer(t, func(c net.Conn, r *bufio.Reader, n int) {
+		if n == 0 {
+			r.ReadString('\n')
+			write(c, "long", "early")
+			time.Sleep(100 * time.Millisecond)
+		}
+		rest, _ := http.ReadRequest(r)
+		if rest != nil {
+			write(c, rest.Header.Get("Id"), rest.URL.Path)
+		}
+	})
+	p := NewPool(nil)
+	request := get("long")
+	request.Method, request.Body = "POST", []byte(strings.Repeat("GET /smuggled HTTP/1.1\r\n\r\n", 1<<18))
+	e, err := p.Do(t.Context(), "target", address, request, false, func(h http.Header) bool { return true })
+	assert.NilError(t, err)
+	_, err = io.ReadAll(e.Body)
+	assert.NilError(t, err)
+	e.Complete()
+	body, err := do(t, p, address, "next")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "/next")
+}
+
+func TestKeepAlive(t *testing.T) {
+	for text, want := range map[string]time.Duration{"timeout=5, max=100": 5 * time.Second, "max=3, timeout=2": 2 * time.Second} {
+		got, ok := keepAlive(http.Header{"Keep-Alive": {text}})
+		assert.Assert(t, ok)
+		assert.Equal(t, got, want)
+	}
+	_, ok := keepAlive(http.Header{"Keep-Alive": {"timeout=soon"}})
+	assert.Assert(t, !ok)
+}
