--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -29,6 +29,8 @@
 	// failure is a target's own failure, kept in case no other target succeeds.
 	failure *wholeAnswer
 	out     *output
+	// held is true once the call has waited for an engine.
+	held bool
 	// reservations counts the names given to reservations.
 	reservations int
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -55,6 +55,10 @@
 		if d != nil || !h.mayHold(c, f) {
 			return d, f
 		}
+		if !c.held {
+			c.held = true
+			h.Log.Info("held", "request", c.meta.ID, "prompt", c.meta.PromptTokens, "left", c.left().Round(time.Millisecond), "reason", f.reason)
+		}
 		if !wait.For(ctx, placeInterval/2+rand.N(placeInterval)) {
 			return nil, f
 		}
