--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -158,16 +158,21 @@
 	return &destination{target: plan.Target, plan: &plan, firstEvent: plan.FirstEvent}, nil
 }
 
+// biasPerVM is the largest random cost of an engine, for each VM of the fleet: the
+// more VMs decide, the more of them decide at the same time.
+const biasPerVM = 0.001
+
 // engines describes the engines among which to choose.
 func (h *Handler) engines(targets []*topology.Target, loads inflight.Loads) []placement.Engine {
 	now := time.Now()
+	bias := biasPerVM * float64(h.VMs())
 	engines := make([]placement.Engine, 0, len(targets))
 	for _, t := range targets {
 		v := h.Health.Verdict(t.ID, now)
 		load := loads.Of(t.ID)
 		engines = append(engines, placement.Engine{
-			Target: t, Items: load.Items, Parts: load.Parts, Pace: v.Pace,
-			FailRate: v.FailRate, Avoid: v.Avoid, Doubted: v.Doubted, Away: t.Zone != h.Zone,
+			Target: t, Items: load.Items, Parts: load.Parts, Ended: load.Ended, Pace: v.Pace,
+			FailRate: v.FailRate, Avoid: v.Avoid, Doubted: v.Doubted, Away: t.Zone != h.Zone, Bias: bias * rand.Float64(),
 		})
 	}
 	return engines
@@ -210,5 +215,5 @@
 		return 0
 	}
 	load := h.Board.Loads().Of(t.ID)
-	return placement.Reading(service.Engine, placement.Engine{Target: t, Items: load.Items, Parts: load.Parts})
+	return placement.Reading(service.Engine, placement.Engine{Target: t, Items: load.Items, Parts: load.Parts, Ended: load.Ended})
 }
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -30,14 +30,25 @@
 	// Writing is true once the first event has come, WritingFor ago.
 	Writing    bool
 	WritingFor time.Duration
+	// Ended is true for a job that has ended a short time ago. Its reading took
+	// time that other prompts on the engine had to wait.
+	Ended bool
 }
 
+// Jobs with prompts of rememberTokens or more are told for rememberFor after
+// their end.
+const (
+	rememberTokens = 20_000
+	rememberFor    = 3 * time.Second
+)
+
 // Running is a job of this VM.
 type Running struct {
 	board   *Board
 	job     Job
 	started time.Time
 	first   atomic.Int64 // time of the first event after started; 0 before
+	ended   time.Time
 }
 
 // FirstEvent notes that the answer has begun.
@@ -51,6 +62,10 @@
 func (r *Running) Done() {
 	r.board.mu.Lock()
 	delete(r.board.own, r)
+	if r.job.PromptTokens >= rememberTokens && r.first.Load() > 0 {
+		r.ended = time.Now()
+		r.board.ended = append(r.board.ended, r)
+	}
 	r.board.mu.Unlock()
 	r.board.notify()
 }
@@ -70,6 +85,7 @@
 
 	mu    sync.Mutex
 	own   map[*Running]struct{}
+	ended []*Running // that are remembered, in order of their ends
 	peers map[string]peerJobs
 	// sends are the times of this VM's sends to each target in the last second,
 	// also of jobs that have ended.
@@ -139,9 +155,23 @@
 	for r := range b.own {
 		items = append(items, r.item(now))
 	}
+	for _, r := range b.remembered(now) {
+		i := r.item(now)
+		i.Ended = true
+		items = append(items, i)
+	}
 	return items
 }
 
+// remembered returns the jobs that have ended a short time ago. The lock must be
+// held.
+func (b *Board) remembered(now time.Time) []*Running {
+	for len(b.ended) > 0 && now.Sub(b.ended[0].ended) > rememberFor {
+		b.ended = b.ended[1:]
+	}
+	return b.ended
+}
+
 // SetPeer replaces the jobs of another VM by those that it has told now.
 func (b *Board) SetPeer(name string, items []Item) {
 	b.mu.Lock()
@@ -158,6 +188,8 @@
 	Items []Item
 	// Parts are jobs at other targets of whose prompts this one reads a part.
 	Parts []Item
+	// Ended are jobs of both kinds that have ended a short time ago.
+	Ended []Item
 }
 
 // Loads maps targets to their load.
@@ -181,6 +213,13 @@
 }
 
 func (l Loads) add(i Item) {
+	if i.Ended {
+		for _, target := range append([]string{i.Target}, i.Helpers...) {
+			at := l.at(target)
+			at.Ended = append(at.Ended, i)
+		}
+		return
+	}
 	at := l.at(i.Target)
 	at.Items = append(at.Items, i)
 	for _, helper := range i.Helpers {
@@ -198,6 +237,11 @@
 	for r := range b.own {
 		loads.add(r.item(now))
 	}
+	for _, r := range b.remembered(now) {
+		i := r.item(now)
+		i.Ended = true
+		loads.add(i)
+	}
 	for _, p := range b.peers {
 		lag := now.Sub(p.at)
 		for _, i := range p.items {
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -89,6 +89,7 @@
 	AgeMs      int32
 	Writing    bool
 	WritingFor int32
+	Ended      bool
 }
 
 func encodeJobs(items []inflight.Item) []jobMessage {
@@ -97,7 +98,7 @@
 		jobs = append(jobs, jobMessage{
 			Target: i.Target, Helpers: i.Helpers, Prompt: i.PromptTokens, Answer: i.AnswerTokens,
 			PauseMs: int32(i.PauseLimit.Milliseconds()), Reserved: i.Reserved, AgeMs: int32(i.Age.Milliseconds()),
-			Writing: i.Writing, WritingFor: int32(i.WritingFor.Milliseconds()),
+			Writing: i.Writing, WritingFor: int32(i.WritingFor.Milliseconds()), Ended: i.Ended,
 		})
 	}
 	return jobs
@@ -112,7 +113,7 @@
 				PauseLimit: time.Duration(j.PauseMs) * time.Millisecond, Reserved: j.Reserved,
 			},
 			Age:     time.Duration(j.AgeMs) * time.Millisecond,
-			Writing: j.Writing, WritingFor: time.Duration(j.WritingFor) * time.Millisecond,
+			Writing: j.Writing, WritingFor: time.Duration(j.WritingFor) * time.Millisecond, Ended: j.Ended,
 		})
 	}
 	return items
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -19,6 +19,8 @@
 	// engines' prompts that it reads.
 	Items []inflight.Item
 	Parts []inflight.Item
+	// Ended are requests and parts whose reading has delayed those that are left.
+	Ended []inflight.Item
 	// Pace is the factor by which the engine is slower than its model; 1 when
 	// nothing is known.
 	Pace float64
@@ -30,6 +32,9 @@
 	Doubted bool
 	// Away is true in another zone than this VM's.
 	Away bool
+	// Bias is a small random cost that keeps VMs which decide at the same time
+	// from choosing the same engine.
+	Bias float64
 }
 
 // Job is the request to place.
@@ -58,11 +63,8 @@
 	pass    time.Duration // without reading
 	writers int
 	backlog time.Duration // reading that is left
-	// parts is the part of the backlog that is read ahead: parts of prompts that
-	// several engines read.
-	parts  time.Duration
-	memory int // tokens in use or promised
-	free   int // slots
+	memory  int           // tokens in use or promised
+	free    int           // slots
 	// strict counts the streams with a short pause limit.
 	strict int
 	// slotWait is the time until a slot is free.
@@ -84,35 +86,56 @@
 		if i.PauseLimit > 0 && i.PauseLimit < strictPause {
 			l.strict++
 		}
+		readers = append(readers, l.reader(m, i))
 		if i.Writing {
 			writers++
 			context += i.PromptTokens / share
-			continue
 		}
-		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
-		readers = append(readers, r)
 	}
 	for _, i := range e.Parts {
 		share := shares(i)
 		if i.Reserved {
 			l.memory += i.PromptTokens / share
 		}
+		readers = append(readers, l.reader(m, i))
 		if i.Writing {
 			context += i.PromptTokens / share
-			continue
 		}
-		r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(share)}
-		readers = append(readers, r)
+	}
+	for _, i := range e.Ended {
+		readers = append(readers, l.reader(m, i))
 	}
 	l.writers = writers
 	l.pass = l.paced(enginemodel.Pass(m, max(writers, 1), context))
-	l.backlog = enginemodel.Backlog(readers)
+	if unread(e.Items) || unread(e.Parts) {
+		l.backlog = enginemodel.Backlog(readers)
+	}
 	if l.free <= 0 {
 		l.slotWait = slotWait(m, l, 1-l.free)
 	}
 	return l
 }
 
+// reader returns the reading of a request on the engine. That of one which has
+// begun to write took no longer than until its first event.
+func (l load) reader(m *topology.EngineModel, i inflight.Item) enginemodel.Reader {
+	r := enginemodel.Reader{Age: i.Age, Read: l.paced(enginemodel.Read(m, i.PromptTokens)) / time.Duration(shares(i))}
+	if i.Writing {
+		r.Read = min(r.Read, i.Age-i.WritingFor)
+	}
+	return r
+}
+
+// unread reports whether a prompt is still to be read.
+func unread(items []inflight.Item) bool {
+	for _, i := range items {
+		if !i.Writing {
+			return true
+		}
+	}
+	return false
+}
+
 // shares returns the number of engines that read a prompt.
 func shares(i inflight.Item) int { return len(i.Helpers) + 1 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -289,7 +289,7 @@
 // standing returns what speaks against the engine as the target whatever is
 // read: its failures, and which streams share it.
 func (l *load) standing(job Job) float64 {
-	cost := l.blame()
+	cost := l.blame() + l.Bias
 	if job.PauseLimit > 0 && job.PauseLimit < strictPause {
 		if l.strict == 0 {
 			cost += openCost
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -34,7 +34,7 @@
 	return inflight.Item{Job: inflight.Job{PromptTokens: tokens, AnswerTokens: 1300, PauseLimit: pause}, Age: time.Second, Writing: true, WritingFor: 500 * time.Millisecond}
 }
 
-func unread(tokens int, pause time.Duration) inflight.Item {
+func reads(tokens int, pause time.Duration) inflight.Item {
 	return inflight.Item{Job: inflight.Job{PromptTokens: tokens, AnswerTokens: 700, PauseLimit: pause}, Age: 50 * time.Millisecond}
 }
 
@@ -79,7 +79,7 @@
 // Load: a burst of short questions at its start. Guards against prompts that all
 // go to the fullest engine, whose reading then takes longer than the objective.
 func TestShortsAvoidReadingQueue(t *testing.T) {
-	queue := append(times(4, writing(5000, shortPause)), times(8, unread(5000, shortPause))...)
+	queue := append(times(4, writing(5000, shortPause)), times(8, reads(5000, shortPause))...)
 	plan := choose(t, fleet(queue, times(4, writing(5000, shortPause))), shortJob())
 	assert.Equal(t, plan.Target.ID, "e1")
 }
@@ -107,7 +107,7 @@
 // Load: many long prompts at once. Guards against parts that overtake a prompt
 // which is being read and make it late: engines read the newest part first.
 func TestPartsAvoidUnreadPrompts(t *testing.T) {
-	engines := fleet(times(1, unread(150_000, longPause)), nil, nil)
+	engines := fleet(times(1, reads(150_000, longPause)), nil, nil)
 	plan := choose(t, engines, longJob(150_000))
 	assert.Assert(t, plan.Target.ID != "e0")
 	for _, h := range plan.Helpers {
@@ -115,6 +115,20 @@
 	}
 }
 
+// Load: two long prompts that share engines (seen on quiet-1 of
+// bibliobuz-oriole-grown). Guards against an engine that seems idle because the
+// later prompt, which it read first, has ended: the earlier one is still to be
+// read.
+func TestOvertakenPromptIsStillToBeRead(t *testing.T) {
+	first := inflight.Item{Job: inflight.Job{PromptTokens: 264_882, Helpers: []string{"e1", "e2"}, PauseLimit: longPause}, Age: 2900 * time.Millisecond}
+	second := inflight.Item{Job: inflight.Job{PromptTokens: 166_941, Helpers: []string{"e1"}, PauseLimit: longPause}, Age: 2890 * time.Millisecond,
+		Writing: true, WritingFor: 1450 * time.Millisecond, Ended: true}
+	engines := fleet(nil, nil)
+	engines[0].Parts, engines[0].Ended = []inflight.Item{first}, []inflight.Item{second}
+	engines[1].Items = times(5, writing(5000, longPause))
+	assert.Equal(t, choose(t, engines, shortJob()).Target.ID, "e1")
+}
+
 // Load: the largest prompts among many short streams. Guards against a prompt
 // that harms others more than it is worth: it waits, and at the end of its time
 // it is not sent.
@@ -160,7 +174,7 @@
 			if rapid.Bool().Draw(t, name+" writing") {
 				return writing(tokens, pause)
 			}
-			return unread(tokens, pause)
+			return reads(tokens, pause)
 		}
 		var items []inflight.Item
 		for i := range rapid.IntRange(0, 14).Draw(t, "items") {
