--- a/internal/peers/fetch.go
+++ b/internal/peers/fetch.go
@@ -23,8 +23,8 @@
 )
 
 // fetchNewer fetches the changes of tables of which the sender knows more.
-func (m *Mesh) fetchNewer(ctx context.Context, h heartbeat) {
-	for table, position := range h.Positions {
+func (m *Mesh) fetchNewer(ctx context.Context, s status) {
+	for table, position := range s.Positions {
 		c := m.copies[table]
 		if c == nil || position <= c.Position() || !m.beginFetch(table) {
 			continue
@@ -73,10 +73,10 @@
 
 // source picks a VM at random that knows a table up to a position, in this zone
 // if there is one.
-func (m *Mesh) source(table string, position uint64) (heartbeat, bool) {
+func (m *Mesh) source(table string, position uint64) (status, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var near, far []heartbeat
+	var near, far []status
 	for _, p := range m.peers {
 		if p.lost || p.heardAt.IsZero() || p.last.Positions[table] < position {
 			continue
@@ -91,12 +91,12 @@
 		near = far
 	}
 	if len(near) == 0 {
-		return heartbeat{}, false
+		return status{}, false
 	}
 	return near[rand.IntN(len(near))], true
 }
 
-func (m *Mesh) fetchFrom(ctx context.Context, h heartbeat, c *replica.Copy) error {
+func (m *Mesh) fetchFrom(ctx context.Context, h status, c *replica.Copy) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var reply changesReply
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -55,15 +55,25 @@
 	return d, nil
 }
 
-// heartbeat is a datagram with everything that a VM tells of itself. Each one
-// replaces the one before, so a lost one does no lasting harm.
+// heartbeat is a datagram with what a VM tells of itself. Each one replaces the
+// jobs told before, so a lost one does no lasting harm.
 type heartbeat struct {
-	From string `msgpack:"f"`
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads this option
 	// Started is a random number that tells two starts of a VM apart; Sequence
 	// orders the heartbeats of one.
-	Started  uint64 `msgpack:"i"`
-	Sequence uint64 `msgpack:"q"`
-	Zone     string `msgpack:"z"`
+	Started  uint64
+	Sequence uint64
+	Jobs     []jobMessage
+	// Unreachable are the targets that the sender cannot reach.
+	Unreachable []string
+	// Status is left out when only the jobs have changed.
+	Status *status
+}
+
+// status is the part of a heartbeat that seldom changes.
+type status struct {
+	From string `msgpack:"f"`
+	Zone string `msgpack:"z"`
 	// Datagrams and Links are the addresses at which the VM is reached.
 	Datagrams string `msgpack:"u"`
 	Links     string `msgpack:"l"`
@@ -72,9 +82,6 @@
 	StoreAgeMs int64 `msgpack:"a"`
 	// Positions holds the version up to which each table is known.
 	Positions map[string]uint64 `msgpack:"p"`
-	Jobs      []jobMessage      `msgpack:"j,omitempty"`
-	// Unreachable are the targets that the sender cannot reach.
-	Unreachable []string `msgpack:"n,omitempty"`
 }
 
 // jobMessage is an inflight.Item on the wire; times are in milliseconds.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -62,6 +62,8 @@
 	server  *link.Server
 	started uint64
 	wake    chan struct{}
+	// changed is true when the status is to be sent with the next heartbeat.
+	changed atomic.Bool
 	leaving atomic.Bool
 
 	mu       sync.Mutex
@@ -73,8 +75,11 @@
 // peer is what is known of another VM.
 type peer struct {
 	datagrams *net.UDPAddr
-	last      heartbeat
+	last      status
+	started   uint64
+	sequence  uint64
 	heardAt   time.Time // zero when never heard
+	statusAt  time.Time // when last was told
 	addedAt   time.Time
 	lost      bool
 	// earlier is the start before the last one heard; its late datagrams are
@@ -164,10 +169,16 @@
 	}
 }
 
+// Changed sends a heartbeat with the whole status soon.
+func (m *Mesh) Changed() {
+	m.changed.Store(true)
+	m.Wake()
+}
+
 // Leave tells the others that this VM stops.
 func (m *Mesh) Leave() {
 	m.leaving.Store(true)
-	m.Wake()
+	m.Changed()
 }
 
 // Run sends and receives heartbeats until ctx ends.
@@ -182,10 +193,11 @@
 		case <-m.wake:
 			time.Sleep(coalesce)
 		case <-timer.C:
+			m.changed.Store(true)
+			timer.Reset(m.interval())
 		}
 		m.expire()
 		m.broadcast()
-		timer.Reset(m.interval())
 	}
 }
 
@@ -222,20 +234,13 @@
 	}
 	m.mu.Lock()
 	m.sequence++
-	h := heartbeat{
-		From: m.self.Name, Started: m.started, Sequence: m.sequence, Zone: m.self.Zone,
-		Datagrams: m.self.Datagrams, Links: m.self.Links, Leaving: m.leaving.Load(), Positions: map[string]uint64{},
-	}
+	h := heartbeat{Started: m.started, Sequence: m.sequence}
 	m.mu.Unlock()
-	h.StoreAgeMs = int64(1 << 40)
-	if at := m.contact(); !at.IsZero() {
-		h.StoreAgeMs = time.Since(at).Milliseconds()
-	}
-	for table, c := range m.copies {
-		h.Positions[table] = c.Position()
-	}
 	h.Jobs = encodeJobs(m.board.Own())
 	h.Unreachable = m.doubts.Avoided()
+	if m.changed.Swap(false) {
+		h.Status = m.status()
+	}
 	data, err := msgpack.Marshal(h)
 	if err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
@@ -246,10 +251,27 @@
 	return data, nil
 }
 
+func (m *Mesh) status() *status {
+	s := &status{
+		From: m.self.Name, Zone: m.self.Zone, Datagrams: m.self.Datagrams, Links: m.self.Links,
+		Leaving: m.leaving.Load(), StoreAgeMs: unknownAge.Milliseconds(), Positions: map[string]uint64{},
+	}
+	if at := m.contact(); !at.IsZero() {
+		s.StoreAgeMs = time.Since(at).Milliseconds()
+	}
+	for table, c := range m.copies {
+		s.Positions[table] = c.Position()
+	}
+	return s
+}
+
+// unknownAge stands for the age of a contact with the store that never was.
+const unknownAge = 365 * 24 * time.Hour
+
 func (m *Mesh) receive(ctx context.Context) {
 	buffer := make([]byte, 64<<10)
 	for ctx.Err() == nil {
-		n, _, err := m.conn.ReadFromUDP(buffer)
+		n, from, err := m.conn.ReadFromUDP(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				m.log.Warn("heartbeat not received", "error", err)
@@ -262,41 +284,49 @@
 			m.log.Warn("heartbeat ignored: it cannot be decoded", "bytes", n, "error", err)
 			continue
 		}
-		m.accept(ctx, h)
+		m.accept(ctx, from.String(), h)
 	}
 }
 
-// accept takes a heartbeat unless it is older than one that was taken.
-func (m *Mesh) accept(ctx context.Context, h heartbeat) {
-	if h.From == m.self.Name && h.Datagrams == m.self.Datagrams {
+// accept takes a heartbeat that came from an address, unless it is older than one
+// that was taken. The first of a start must tell the status.
+func (m *Mesh) accept(ctx context.Context, from string, h heartbeat) {
+	if h.Started == m.started {
 		return
 	}
-	m.Add(h.Datagrams)
+	if h.Status != nil {
+		m.Add(from)
+	}
 	m.mu.Lock()
-	p := m.peers[h.Datagrams]
-	if p == nil {
+	p := m.peers[from]
+	if p == nil || h.Started == p.earlier || h.Started == p.started && h.Sequence <= p.sequence {
 		m.mu.Unlock()
 		return
 	}
-	old := p.last
-	if h.Started == p.earlier || h.Started == old.Started && h.Sequence <= old.Sequence {
+	restarted := h.Started != p.started
+	if restarted && h.Status == nil {
 		m.mu.Unlock()
 		return
 	}
-	restarted := h.Started != old.Started
 	if restarted {
-		p.earlier = old.Started
+		p.earlier = p.started
 	}
 	first := p.heardAt.IsZero() || p.lost || restarted
-	p.last, p.heardAt, p.lost = h, time.Now(), false
+	p.started, p.sequence, p.heardAt, p.lost = h.Started, h.Sequence, time.Now(), false
+	if h.Status != nil {
+		p.last, p.statusAt = *h.Status, p.heardAt
+	}
+	last := p.last
 	m.mu.Unlock()
 	if first {
-		m.log.Info("peer heard", "peer", h.From, "zone", h.Zone, "address", h.Datagrams)
-		m.Wake()
+		m.log.Info("peer heard", "peer", last.From, "zone", last.Zone, "address", from)
+		m.Changed()
 	}
-	m.board.SetPeer(h.Datagrams, decodeJobs(h.Jobs))
+	m.board.SetPeer(from, decodeJobs(h.Jobs))
 	m.doubts.NotePeers(h.Unreachable)
-	m.fetchNewer(ctx, h)
+	if h.Status != nil {
+		m.fetchNewer(ctx, *h.Status)
+	}
 }
 
 // expire drops the jobs of VMs that are silent.
@@ -342,7 +372,7 @@
 // Status returns what is known now.
 func (m *Mesh) Status() Status {
 	now := time.Now()
-	s := Status{VMs: 1, StoreAge: time.Duration(1 << 60)}
+	s := Status{VMs: 1, StoreAge: unknownAge}
 	if at := m.contact(); !at.IsZero() {
 		s.StoreAge = now.Sub(at)
 	}
@@ -359,7 +389,7 @@
 		}
 		s.VMs++
 		s.Heard = true
-		age := time.Duration(p.last.StoreAgeMs)*time.Millisecond + now.Sub(p.heardAt)
+		age := time.Duration(p.last.StoreAgeMs)*time.Millisecond + now.Sub(p.statusAt)
 		s.StoreAge = min(s.StoreAge, age)
 		if p.last.Zone == m.self.Zone && age < storeFresh {
 			s.Readers = append(s.Readers, p.last.From)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -100,7 +100,7 @@
 	b.mesh.Add(c.at)
 	large := []byte(strings.Repeat("route ", 80_000))
 	a.copy.Replace([]replica.Record{{Key: "config", Value: large, Version: 4}}, 5)
-	a.mesh.Wake()
+	a.mesh.Changed()
 	eventually(t, "c has what a has", func() bool { return c.copy.Position() == 5 })
 	assert.Equal(t, string(c.copy.Rows()[0].Value), string(large))
 }
@@ -110,7 +110,7 @@
 	a := start(t, "a")
 	item := []jobMessage{{Target: "e1"}}
 	beat := func(started, sequence uint64, jobs []jobMessage) {
-		a.mesh.accept(t.Context(), heartbeat{From: "x", Started: started, Sequence: sequence, Datagrams: "127.0.0.9:9", Jobs: jobs})
+		a.mesh.accept(t.Context(), "127.0.0.9:9", heartbeat{Started: started, Sequence: sequence, Jobs: jobs, Status: &status{From: "x"}})
 	}
 	beat(1, 5, item)
 	assert.Equal(t, len(a.board.Loads()), 1)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -52,7 +52,7 @@
 	idleTimeout   = 60 * time.Second
 	// readersPerZone is the number of VMs of a zone that read the store. The
 	// others hear from them.
-	readersPerZone = 3
+	readersPerZone = 2
 	joinInterval   = 3 * time.Second
 	storeCallLimit = time.Second
 )
@@ -182,12 +182,12 @@
 
 func (p *Process) operatorChanged(changed []replica.Record) {
 	p.views.operatorChanged(changed)
-	p.mesh.Wake()
+	p.mesh.Changed()
 }
 
 func (p *Process) targetsChanged(changed []replica.Record) {
 	p.views.targetsChanged(changed)
-	p.mesh.Wake()
+	p.mesh.Changed()
 }
 
 // storeContact returns the last moment at which the store answered this VM.
@@ -377,7 +377,7 @@
 		p.mesh.Add(v.Datagrams)
 	}
 	p.log.Info("registered in the store", "vms", len(rows))
-	p.mesh.Wake()
+	p.mesh.Changed()
 	return nil
 }
 
