--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -41,7 +41,7 @@
 func NewHealth() *Health { return &Health{targets: map[string]*targetHealth{}} }
 
 // Note takes the outcome of a try.
-func (h *Health) Note(target string, o outcome, _ time.Duration) {
+func (h *Health) Note(target string, o outcome) {
 	if o == callerGone || o == noRoom {
 		return
 	}
@@ -155,8 +155,6 @@
 	Doubted bool
 	// Gone is true for a target that exists no more.
 	Gone bool
-	// Pace is the factor by which the target is slower than usual.
-	Pace float64
 }
 
 // Verdict returns the judgement of a target at a moment.
@@ -165,9 +163,9 @@
 	defer h.mu.Unlock()
 	t := h.targets[target]
 	if t == nil {
-		return Verdict{Pace: 1}
+		return Verdict{}
 	}
-	return Verdict{FailRate: t.rate(now), Avoid: now.Before(t.avoidTill), Doubted: now.Before(t.peerTill), Gone: t.gone, Pace: 1}
+	return Verdict{FailRate: t.rate(now), Avoid: now.Before(t.avoidTill), Doubted: now.Before(t.peerTill), Gone: t.gone}
 }
 
 // Retain forgets the targets that are not in use any more.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -171,7 +171,7 @@
 		v := h.Health.Verdict(t.ID, now)
 		load := loads.Of(t.ID)
 		engines = append(engines, placement.Engine{
-			Target: t, Items: load.Items, Parts: load.Parts, Ended: load.Ended, Pace: v.Pace,
+			Target: t, Items: load.Items, Parts: load.Parts, Ended: load.Ended,
 			FailRate: v.FailRate, Avoid: v.Avoid, Doubted: v.Doubted, Away: t.Zone != h.Zone, Bias: bias * rand.Float64(),
 		})
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -155,7 +155,6 @@
 		}
 		helpers = names
 	}
-	started := time.Now()
 	watch := h.newWatch(d.target, cancel, firstEventLimit(c, d))
 	defer watch.stop()
 	e, err := h.Pool.Do(ctx, d.target.ID, d.target.Address, h.outgoing(c, d.target, helpers), c.route.Kind == topology.Once, func(header http.Header) bool {
@@ -169,7 +168,7 @@
 	c.sent++
 	a := h.Protocol.Answer(e.StatusCode, e.Header)
 	o, err := h.relay(ctx, c, d.target, e, a, running, watch)
-	h.Health.Note(d.target.ID, o, time.Since(started))
+	h.Health.Note(d.target.ID, o)
 	return o, err
 }
 
@@ -219,12 +218,12 @@
 	}
 	var failure *upstream.Error
 	if errors.As(err, &failure) && !failure.Sent {
-		h.Health.Note(target.ID, notSent, 0)
+		h.Health.Note(target.ID, notSent)
 		return notSent, err
 	}
 	c.sent++
 	if ctx.Err() == nil {
-		h.Health.Note(target.ID, lost, 0)
+		h.Health.Note(target.ID, lost)
 	}
 	return lost, err
 }
--- a/internal/vmsettings/vmsettings.go
+++ b/internal/vmsettings/vmsettings.go
@@ -17,16 +17,14 @@
 
 // Settings are the settings of one VM.
 type Settings struct {
-	VM           VM           `toml:"vm"`
-	Listen       Listen       `toml:"listen"`
-	Peers        Peers        `toml:"peers"`
-	Store        Store        `toml:"store"`
-	Memory       Memory       `toml:"memory"`
-	Stop         Stop         `toml:"stop"`
-	Retries      Retries      `toml:"retries"`
-	Cold         Cold         `toml:"cold"`
-	Reservations Reservations `toml:"reservations"`
-	Log          Log          `toml:"log"`
+	VM      VM      `toml:"vm"`
+	Listen  Listen  `toml:"listen"`
+	Peers   Peers   `toml:"peers"`
+	Store   Store   `toml:"store"`
+	Memory  Memory  `toml:"memory"`
+	Stop    Stop    `toml:"stop"`
+	Retries Retries `toml:"retries"`
+	Log     Log     `toml:"log"`
 }
 
 // VM says which VM this is.
@@ -35,8 +33,6 @@
 	Name string `toml:"name"`
 	// Zone is the data centre of the VM. Required.
 	Zone string `toml:"zone"`
-	// FirstStart is true when the whole fleet starts for the first time.
-	FirstStart bool `toml:"first-start"`
 }
 
 // Listen holds the addresses to listen on, each an IP and a port. All required.
@@ -82,20 +78,6 @@
 	Window config.Duration `toml:"window"` // default "10s"
 }
 
-// Cold bounds the requests per second of a cold target: Over times its rate,
-// plus Slack.
-type Cold struct {
-	Over  float64 `toml:"over"`  // default 1.5
-	Slack float64 `toml:"slack"` // requests, default 5
-}
-
-// Reservations bound reservations of engine memory.
-type Reservations struct {
-	// LongestHold is the longest time for which memory can be reserved.
-	// Default "20s".
-	LongestHold config.Duration `toml:"longest-hold"`
-}
-
 // Log says what is logged.
 type Log struct {
 	// Level is debug, info, warn or error. Default "info".
@@ -105,11 +87,9 @@
 // Defaults returns settings with every default and no required value.
 func Defaults() *Settings {
 	return &Settings{
-		Stop:         Stop{Grace: config.Duration(8 * time.Second)},
-		Retries:      Retries{Ratio: 0.2, Slack: 100, Window: config.Duration(10 * time.Second)},
-		Cold:         Cold{Over: 1.5, Slack: 5},
-		Reservations: Reservations{LongestHold: config.Duration(20 * time.Second)},
-		Log:          Log{Level: "info"},
+		Stop:    Stop{Grace: config.Duration(8 * time.Second)},
+		Retries: Retries{Ratio: 0.2, Slack: 100, Window: config.Duration(10 * time.Second)},
+		Log:     Log{Level: "info"},
 	}
 }
 
@@ -174,9 +154,6 @@
 	c.require(s.Retries.Ratio >= 0, "retries.ratio", fmt.Sprint(s.Retries.Ratio), "a number of 0 or more")
 	c.require(s.Retries.Slack >= 0, "retries.slack", fmt.Sprint(s.Retries.Slack), "a number of 0 or more")
 	c.require(s.Retries.Window > 0, "retries.window", s.Retries.Window.Std().String(), "a duration above 0")
-	c.require(s.Cold.Over >= 0, "cold.over", fmt.Sprint(s.Cold.Over), "a number of 0 or more")
-	c.require(s.Cold.Slack >= 0, "cold.slack", fmt.Sprint(s.Cold.Slack), "a number of 0 or more")
-	c.require(s.Reservations.LongestHold > 0, "reservations.longest-hold", s.Reservations.LongestHold.Std().String(), "a duration above 0")
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
