Hold a request for 0.7 of its time at most, then ask the caller to come back

Cause: a prompt for which memory could not be reserved was tried until its deadline, and the caller had no time to return.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -20,6 +20,9 @@
 	// holdShare is the part of the objective for which a request is held when no
 	// engine has room.
 	holdShare = 0.8
+	// longestHold is the part of a request's time for which it is held at most: a
+	// caller that is refused then has time to come back.
+	longestHold = 0.7
 )
 
 // destination is where a try goes.
@@ -66,18 +69,25 @@
 }
 
 // holdCall marks a request that waits because it would harm others now.
-var holdCall = &refusal{http.StatusServiceUnavailable, "the request waited for an engine until its deadline", time.Second}
+var holdCall = &refusal{http.StatusServiceUnavailable, "no engine could take the request without harm to others; try again", time.Second}
 
 // mayHold reports whether a request that found no room is held.
 func (h *Handler) mayHold(c *call, f *refusal) bool {
-	if f == holdCall {
-		return true
-	}
-	if f != refuseBusy {
+	waited := time.Since(c.arrived)
+	switch {
+	case waited > c.longestHold():
 		return false
+	case f == holdCall:
+		return true
+	case f == refuseBusy:
+		return waited < time.Duration(holdShare*float64(c.route.Objective))
 	}
-	hold := time.Duration(holdShare * float64(c.route.Objective))
-	return time.Since(c.arrived) < hold && c.left() > placeInterval
+	return false
+}
+
+// longestHold returns the time after its arrival for which a call may be held.
+func (c *call) longestHold() time.Duration {
+	return time.Duration(longestHold * float64(c.deadline.Sub(c.arrived)))
 }
 
 // candidates returns the usable targets that still exist.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -50,7 +50,7 @@
 		h.logPlan(c, d)
 		o, err := h.try(ctx, c, d)
 		if o == noRoom {
-			if !wait.For(ctx, reserveInterval) {
+			if time.Since(c.arrived) > c.longestHold() || !wait.For(ctx, reserveInterval) {
 				h.end(ctx, c, refuseBusy)
 				return
 			}
--- a/test/gate/reservations_test.go
+++ b/test/gate/reservations_test.go
@@ -126,7 +126,11 @@
 	engines := []*engine{newEngine(t, "i-1"), newEngine(t, "i-2")}
 	engines[1].refuse = true
 	v := startEngines(t, engines...)
-	assert.Equal(t, v.prompt(30_000).status, 503)
+	begin := time.Now()
+	a := v.prompt(30_000)
+	assert.Equal(t, a.status, 503)
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(begin) < 2500*time.Millisecond, "held until the deadline of 3 s")
 	eventually(t, "nothing is reserved", func() bool { return engines[0].holds() == 0 })
 	assert.Assert(t, engines[0].count("release") >= 1)
 }
