Seat: a failed round without a usable seat is repeated at once

Change: rounds that leave the VM without a usable seat are repeated after 0.1 s, then twice as long each time up to the renewal interval. Test: TestSeatIsUsableSoonAfterAFailedRound (failed before), and TestRetriesWithoutASeatSlowDown for the rate of spare VMs.

--- a/internal/seat/manager.go
+++ b/internal/seat/manager.go
@@ -34,6 +34,9 @@
 	StoreTimeout = 1500 * time.Millisecond
 	// RetryAfter is suggested to callers that were refused.
 	RetryAfter = time.Second
+	// firstRetryDelay is the pause after the first round that leaves the VM
+	// without a usable seat; it doubles up to the renewal interval.
+	firstRetryDelay = 100 * time.Millisecond
 )
 
 // never is the expiry of a lease that was not granted.
@@ -177,13 +180,38 @@
 // Run claims and renews seats until ctx ends. It does not resign them, so that
 // requests in flight can finish first; see Resign.
 func (m *Manager) Run(ctx context.Context) {
+	roundsWithoutSeat := 0
 	for ctx.Err() == nil {
 		m.RunRound(ctx)
+		if len(m.LeasedSeats()) > 0 {
+			roundsWithoutSeat = 0
+		} else {
+			roundsWithoutSeat++
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(m.renewalPause()):
+		case <-time.After(m.roundPause(roundsWithoutSeat)):
+		}
+	}
+}
+
+// roundPause is the time until the next round. A VM without a usable seat
+// starts no requests, so it tries again sooner: a pause of the process makes the
+// store call that was in flight time out, and its callers must not wait for a
+// whole renewal interval after that.
+func (m *Manager) roundPause(roundsWithoutSeat int) time.Duration {
+	pause := m.renewalPause()
+	delay := firstRetryDelay
+	for range roundsWithoutSeat - 1 {
+		if delay >= pause {
+			break
 		}
+		delay *= 2
+	}
+	if roundsWithoutSeat == 0 {
+		return pause
 	}
+	return min(delay, pause)
 }
 
 // renewalPause is the renewal interval minus a jitter of up to a tenth, so
--- a/internal/seat/run_test.go
+++ b/internal/seat/run_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +98,72 @@
 	assert.NilError(t, holders[0].Resign(ctx))
 	until("resigned", func() bool { return usable() == vms-1 })
 }
+
+// failingTable fails the reads that begin while it is down.
+type failingTable struct {
+	store.Table
+	down  atomic.Bool
+	reads atomic.Int32
+}
+
+func (f *failingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	down := f.down.Load()
+	f.reads.Add(1)
+	if down {
+		return nil, store.ErrUnavailable
+	}
+	return f.Table.Scan(ctx, prefix, after, limit)
+}
+
+// startSingleVM runs a VM that is alone, with the default renewal interval.
+func startSingleVM(t *testing.T, table store.Table) *Manager {
+	client := link.NewClient(link.Plaintext(), slog.New(slog.DiscardHandler))
+	self := membership.Instance{Address: "127.0.0.1:1", StartNumber: 1}
+	lister := membership.ListerFunc(func(context.Context) ([]membership.Entry, error) {
+		return []membership.Entry{{PeerAddress: self.Address}}, nil
+	})
+	view := membership.New(membership.Options{Self: self, Caller: client, Lister: lister})
+	m := New(Options{Table: table, Membership: view, Caller: client, SeatCount: func() int { return 1 }})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { view.Run(ctx) })
+	running.Go(func() { m.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		client.Close()
+	})
+	return m
+}
+
+// Guards against requests that wait for a whole renewal interval after a VM was
+// paused during a store call: the call fails when the VM wakes up, and the VM has
+// no usable seat until the next round. Seen in lease_lapse/accepted of the fault
+// matrix, which allows 2 s.
+func TestSeatIsUsableSoonAfterAFailedRound(t *testing.T) {
+	table := &failingTable{Table: storefake.NewTable()}
+	table.down.Store(true)
+	m := startSingleVM(t, table)
+	for end := time.Now().Add(10 * time.Second); table.reads.Load() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	table.down.Store(false)
+	began := time.Now()
+	for len(m.LeasedSeats()) == 0 {
+		assert.Assert(t, time.Since(began) < MinRenewInterval/2, "no usable seat")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a store that is flooded with reads by VMs that have no seat, such
+// as spare ones: their retries must slow down to the renewal interval.
+func TestRetriesWithoutASeatSlowDown(t *testing.T) {
+	m := New(Options{Membership: membership.New(membership.Options{}), SeatCount: func() int { return 1 }})
+	for rounds := range 50 {
+		pause := m.roundPause(rounds)
+		assert.Assert(t, pause <= MinRenewInterval && pause > 0)
+		if rounds == 0 || rounds > 5 {
+			assert.Assert(t, pause >= MinRenewInterval*9/10-1, "round %d: %s", rounds, pause)
+		}
+	}
+}
