Strict revocation: a VM refuses keys that it cannot confirm

Cause: VMs that the store turns away (or that are cut off from it) while it serves the operator went on with the API keys they knew, as long as they heard each other.

Change: settings revocation.strict and revocation.bound; internal/freshness keeps up to which time of the store's steady clock the operator's table is known to be current, from own calls and from heartbeats, by the clock that goes on while the machine is suspended. The store's client hands over the clock; a watch and its notification are one step.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -46,6 +46,8 @@
 	VMCount func() int
 	// Isolated reports whether the VM lacks the information to accept new requests.
 	Isolated func() bool
+	// KeysUnconfirmed reports whether this VM cannot tell if API keys were revoked.
+	KeysUnconfirmed func() bool
 
 	bodyBudget *budget.Bytes
 	watchdogs  watchdogSet
@@ -127,9 +129,8 @@
 	if c.route == nil {
 		return refuseNoRoute
 	}
-	c.account = view.Account(meta.Key)
-	if c.account == nil && !c.route.Public && len(view.Config.Accounts) > 0 {
-		return refuseUnauthorized
+	if f := h.checkKey(c); f != nil {
+		return f
 	}
 	c.service = pickService(c.route.Shares, meta.ID)
 	timeout := meta.Timeout
@@ -143,6 +144,26 @@
 	return nil
 }
 
+// checkKey sets the client account. It returns a refusal if the call needs an API key and
+// its key is unknown, was revoked, or may have been revoked without this VM's knowledge.
+func (h *Handler) checkKey(c *call) *refusal {
+	// Whether keys are confirmed is asked first: the view that is read then includes the
+	// revocations up to the confirmed time.
+	unconfirmed := h.KeysUnconfirmed()
+	view := h.Views.Get()
+	c.account = view.Account(c.meta.Key)
+	if c.route.Public || len(view.Config.Accounts) == 0 {
+		return nil
+	}
+	if unconfirmed {
+		return refuseKeysUnconfirmed
+	}
+	if c.account == nil {
+		return refuseUnauthorized
+	}
+	return nil
+}
+
 // Limits of the wait for the first topology view. A VM that starts while all others are
 // down receives requests before it reports that it is ready, and takes some 20 ms to read
 // the configuration and the targets.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -39,6 +39,9 @@
 // free capacity, as long as the request can still be served.
 func (h *Handler) place(ctx context.Context, c *call) (*destination, *refusal) {
 	for {
+		if f := h.recheckKey(c); f != nil {
+			return nil, f
+		}
 		view := h.Views.Get()
 		service := view.Service(c.service)
 		loads := h.Registry.Loads()
@@ -70,6 +73,15 @@
 	}
 }
 
+// recheckKey checks the key of a queued call again. A call that a target may have received
+// is not refused any more.
+func (h *Handler) recheckKey(c *call) *refusal {
+	if !c.queued || c.attemptsSent > 0 {
+		return nil
+	}
+	return h.checkKey(c)
+}
+
 // refuseDeferred marks a call that is queued because sending it now would interfere with
 // other requests.
 var refuseDeferred = &refusal{http.StatusServiceUnavailable, "no engine could take the request without harm to others; try again", time.Second}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -18,19 +18,20 @@
 
 // Refusals that do not depend on the request.
 var (
-	refuseNoConfig       = &refusal{http.StatusServiceUnavailable, "no configuration is known yet; try again", 500 * time.Millisecond}
-	refuseIsolated       = &refusal{http.StatusServiceUnavailable, "this VM reaches neither the store nor another VM; try again", 300 * time.Millisecond}
-	refuseNoRoute        = &refusal{http.StatusNotFound, "no route matches the host and path", 0}
-	refuseUnauthorized   = &refusal{http.StatusUnauthorized, "the key is missing or unknown", 0}
-	refuseTooLarge       = &refusal{http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration", 0}
-	refuseSlowBody       = &refusal{http.StatusRequestTimeout, "the body did not arrive before the deadline", 0}
-	refuseBuffersFull    = &refusal{http.StatusServiceUnavailable, "too many request bodies are held; try again", 500 * time.Millisecond}
-	refuseNoTarget       = &refusal{http.StatusServiceUnavailable, "no target can take the request now; try again", 400 * time.Millisecond}
-	refuseBusy           = &refusal{http.StatusServiceUnavailable, "all targets are busy; try again", 700 * time.Millisecond}
-	refusePromptTooLarge = &refusal{http.StatusServiceUnavailable, "the prompt cannot be read before the deadline", 2 * time.Second}
-	failInterrupted      = &refusal{http.StatusBadGateway, "the target broke off; the request may have run", 0}
-	failTimeout          = &refusal{http.StatusGatewayTimeout, "the deadline passed; the request may have run", 0}
-	failTimeoutNotSent   = &refusal{http.StatusServiceUnavailable, "the deadline passed before the request could be sent", 0}
+	refuseNoConfig        = &refusal{http.StatusServiceUnavailable, "no configuration is known yet; try again", 500 * time.Millisecond}
+	refuseKeysUnconfirmed = &refusal{http.StatusServiceUnavailable, "this VM cannot confirm that the API key is still valid; try again", 500 * time.Millisecond}
+	refuseIsolated        = &refusal{http.StatusServiceUnavailable, "this VM reaches neither the store nor another VM; try again", 300 * time.Millisecond}
+	refuseNoRoute         = &refusal{http.StatusNotFound, "no route matches the host and path", 0}
+	refuseUnauthorized    = &refusal{http.StatusUnauthorized, "the key is missing or unknown", 0}
+	refuseTooLarge        = &refusal{http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration", 0}
+	refuseSlowBody        = &refusal{http.StatusRequestTimeout, "the body did not arrive before the deadline", 0}
+	refuseBuffersFull     = &refusal{http.StatusServiceUnavailable, "too many request bodies are held; try again", 500 * time.Millisecond}
+	refuseNoTarget        = &refusal{http.StatusServiceUnavailable, "no target can take the request now; try again", 400 * time.Millisecond}
+	refuseBusy            = &refusal{http.StatusServiceUnavailable, "all targets are busy; try again", 700 * time.Millisecond}
+	refusePromptTooLarge  = &refusal{http.StatusServiceUnavailable, "the prompt cannot be read before the deadline", 2 * time.Second}
+	failInterrupted       = &refusal{http.StatusBadGateway, "the target broke off; the request may have run", 0}
+	failTimeout           = &refusal{http.StatusGatewayTimeout, "the deadline passed; the request may have run", 0}
+	failTimeoutNotSent    = &refusal{http.StatusServiceUnavailable, "the deadline passed before the request could be sent", 0}
 )
 
 // retryJitter spreads the retries of callers that were refused at the same time.
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,82 @@
+// Package freshness tracks up to which time a replica of a table of the store is known
+// to be current. Times are those of the store's steady clock, so that evidence can be
+// passed on between VMs whose clocks differ, and a delayed message only looks old.
+package freshness
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Unknown is the age of a replica without evidence.
+const Unknown = time.Duration(math.MaxInt64)
+
+// Uptime returns the time since the VM was started. Unlike the monotonic clock of
+// package time, it includes the time for which the VM was suspended.
+func Uptime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("CLOCK_BOOTTIME is not available: " + err.Error()) // it is in every supported kernel
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Tracker holds the evidence for one replica. It is safe for concurrent use.
+type Tracker struct {
+	// uptime is replaced in tests.
+	uptime func() time.Duration
+
+	mu sync.Mutex
+	// clockKnown is true after the first response of the store. offset is then the
+	// smallest known upper bound of the store's clock minus the uptime.
+	clockKnown bool
+	offset     time.Duration
+	// confirmed is true once there is evidence; confirmedAt is the latest.
+	confirmed   bool
+	confirmedAt time.Duration
+}
+
+// New returns a Tracker without evidence.
+func New() *Tracker { return &Tracker{uptime: Uptime} }
+
+// ObserveClock records that the response to a call sent at sentAt, an Uptime, showed the
+// store's clock at storeTime. The store's clock is never underestimated, because the
+// response was made after the call was sent.
+func (t *Tracker) ObserveClock(sentAt, storeTime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	offset := storeTime - sentAt
+	if !t.clockKnown || offset < t.offset {
+		t.clockKnown, t.offset = true, offset
+	}
+}
+
+// Confirm records that the replica held all changes up to storeTime.
+func (t *Tracker) Confirm(storeTime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.confirmed || storeTime > t.confirmedAt {
+		t.confirmed, t.confirmedAt = true, storeTime
+	}
+}
+
+// Confirmed returns the store's time up to which the replica is known to be current.
+func (t *Tracker) Confirmed() (storeTime time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt, t.confirmed
+}
+
+// Age returns an upper bound of the time since the replica was last known to be current,
+// or Unknown.
+func (t *Tracker) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.confirmed || !t.clockKnown {
+		return Unknown
+	}
+	return max(t.uptime()+t.offset-t.confirmedAt, 0)
+}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -90,6 +90,9 @@
 	StoreUnreachable bool `msgpack:"w,omitempty"`
 	// Versions holds the version of the VM's replica of each table.
 	Versions map[string]uint64 `msgpack:"p"`
+	// Confirmed holds the time of the store's steady clock, in milliseconds, up to
+	// which the VM's replica of each table is known to be current.
+	Confirmed map[string]int64 `msgpack:"k,omitempty"`
 }
 
 // requestMessage is the wire format of an inflight.Item; times are in milliseconds.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -62,6 +62,8 @@
 	lastStoreContact func() time.Time // last response of the store
 	storeUnreachable func() bool      // whether the last call of the store failed
 	reachability     TargetReachability
+	confirmed        func(table string) (storeTime time.Duration, ok bool)
+	confirm          func(table string, version uint64, storeTime time.Duration)
 
 	conn       *net.UDPConn
 	client     *link.Client
@@ -120,6 +122,10 @@
 	// StoreUnreachable reports whether this VM's last call to the store failed.
 	StoreUnreachable func() bool
 	Reachability     TargetReachability
+	// Confirmed returns up to which time of the store's clock the replica of a table is
+	// known to be current. Confirm records what another VM knows about a version of it.
+	Confirmed func(table string) (storeTime time.Duration, ok bool)
+	Confirm   func(table string, version uint64, storeTime time.Duration)
 }
 
 // New opens the UDP socket and the link server.
@@ -134,6 +140,7 @@
 	}
 	m := &Mesh{
 		self: o.Self, log: o.Log, registry: o.Registry, applyDelta: o.ApplyDelta, refresh: o.Refresh, lastStoreContact: o.LastStoreContact, storeUnreachable: o.StoreUnreachable, reachability: o.Reachability,
+		confirmed: o.Confirmed, confirm: o.Confirm,
 		replicas: map[string]*replica.Replica{}, conn: conn, instanceID: rand.Uint64(),
 		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
 		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
@@ -272,12 +279,17 @@
 func (m *Mesh) status() *status {
 	s := &status{
 		Name: m.self.Name, Zone: m.self.Zone, HeartbeatAddress: m.self.HeartbeatAddress, LinkAddress: m.self.LinkAddress,
-		Leaving: m.leaving.Load(), StoreAgeMs: noContactAge.Milliseconds(), StoreUnreachable: m.storeUnreachable(), Versions: map[string]uint64{},
+		Leaving: m.leaving.Load(), StoreAgeMs: noContactAge.Milliseconds(), StoreUnreachable: m.storeUnreachable(),
+		Versions: map[string]uint64{}, Confirmed: map[string]int64{},
 	}
 	if at := m.lastStoreContact(); !at.IsZero() {
 		s.StoreAgeMs = time.Since(at).Milliseconds()
 	}
 	for table, c := range m.replicas {
+		// The version is read after the time, so that it is never too old for it.
+		if storeTime, ok := m.confirmed(table); ok {
+			s.Confirmed[table] = storeTime.Milliseconds()
+		}
 		s.Versions[table] = c.Position()
 	}
 	return s
@@ -349,6 +361,9 @@
 	}
 	m.reachability.MarkSuspect(h.Unreachable)
 	if h.Status != nil {
+		for table, ms := range h.Status.Confirmed {
+			m.confirm(table, h.Status.Versions[table], time.Duration(ms)*time.Millisecond)
+		}
 		m.fetchNewer(ctx, *h.Status)
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,26 @@
 	registry *inflight.Registry
 	replica  *replica.Replica
 	address  string
+	// freshness is that of the replica.
+	freshness confirmedAt
+}
+
+// confirmedAt is the latest time at which a replica was confirmed.
+type confirmedAt struct {
+	mu sync.Mutex
+	at time.Duration
+}
+
+func (c *confirmedAt) Confirmed(string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at, c.at > 0
+}
+
+func (c *confirmedAt) Confirm(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = max(c.at, at)
 }
 
 func start(t *testing.T, name string) *node {
@@ -40,6 +61,12 @@
 		LastStoreContact: func() time.Time { return time.Time{} },
 		StoreUnreachable: func() bool { return false },
 		Reachability:     allReachable{},
+		Confirmed:        n.freshness.Confirmed,
+		Confirm: func(_ string, version uint64, storeTime time.Duration) {
+			if n.replica.Position() >= version {
+				n.freshness.Confirm(storeTime)
+			}
+		},
 	})
 	assert.NilError(t, err)
 	n.registry.OnChange = n.mesh.ScheduleHeartbeat
@@ -148,3 +175,21 @@
 	receive(true, nil, 3) // the heartbeat with the end of request 1 was lost
 	assert.Equal(t, jobs(), 1)
 }
+
+// Guards against VMs without a way to the store that cannot tell whether API keys were
+// revoked although another VM knows, and against evidence that is used before the
+// version that it is about has arrived.
+func TestConfirmationSpreads(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	a.replica.Apply(replica.Delta{Table: "t", To: 5, Records: []replica.Record{{Key: "x", Version: 5}}})
+	a.freshness.Confirm(7 * time.Second)
+	a.mesh.AddPeer(b.address)
+	a.mesh.ScheduleStatusHeartbeat()
+	eventually(t, "b knows", func() bool {
+		at, ok := b.freshness.Confirmed("t")
+		if ok {
+			assert.Equal(t, b.replica.Position(), uint64(5), "confirmed before the change arrived")
+		}
+		return ok && at == 7*time.Second
+	})
+}
--- a/internal/process/join.go
+++ b/internal/process/join.go
@@ -60,11 +60,11 @@
 	if err := p.store.Put(ctx, p.tables.VMs, p.vm.Name, row); err != nil {
 		return fmt.Errorf("write the VM's row: %w", err)
 	}
-	rows, _, err := p.store.List(ctx, p.tables.VMs)
+	listing, err := p.store.List(ctx, p.tables.VMs)
 	if err != nil {
 		return fmt.Errorf("list the VMs: %w", err)
 	}
-	for _, r := range rows {
+	for _, r := range listing.Records {
 		var v vmRow
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			p.log.Warn("VM row ignored", "key", r.Key, "error", err)
@@ -72,7 +72,7 @@
 		}
 		p.mesh.AddPeer(v.HeartbeatAddress)
 	}
-	p.log.Info("registered in the store", "vms", len(rows))
+	p.log.Info("registered in the store", "vms", len(listing.Records))
 	p.mesh.ScheduleStatusHeartbeat()
 	return nil
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,6 +19,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/oriolefront/oriolefront/internal/forward"
+	"github.com/oriolefront/oriolefront/internal/freshness"
 	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/peers"
 	"github.com/oriolefront/oriolefront/internal/replica"
@@ -79,17 +80,19 @@
 	store           storesync.Store
 	tables          Tables
 
-	viewBuilder     *viewBuilder
-	viewHolder      *topology.Holder
-	registry        *inflight.Registry
-	mesh            *peers.Mesh
-	operatorSyncer  *storesync.Syncer
-	targetsSyncer   *storesync.Syncer
-	pool            *upstream.Pool
-	health          *forward.Health
-	handler         *forward.Handler
-	metrics         *metrics.Set
-	isolated        atomic.Bool
+	viewBuilder    *viewBuilder
+	viewHolder     *topology.Holder
+	registry       *inflight.Registry
+	mesh           *peers.Mesh
+	operatorSyncer *storesync.Syncer
+	targetsSyncer  *storesync.Syncer
+	pool           *upstream.Pool
+	health         *forward.Health
+	handler        *forward.Handler
+	metrics        *metrics.Set
+	isolated       atomic.Bool
+	// keysUnconfirmed is true while this VM cannot tell whether API keys were revoked.
+	keysUnconfirmed atomic.Bool
 	stopping        atomic.Bool
 	lastOutage      atomic.Pointer[time.Time] // when a store outage was last observed
 	callerServer    *http.Server
@@ -118,14 +121,18 @@
 	p.settings.Store(o.Settings)
 	p.viewBuilder = newViewBuilder(o.Log, o.Decoder, p.viewHolder, p.recoveringFromOutage)
 	p.operatorSyncer = &storesync.Syncer{Store: o.Store, Replica: replica.New(o.Tables.Operator), Log: o.Log, OnChange: p.operatorChanged,
-		ShouldWatch: func() bool { return p.shouldWatch(operatorTableReaders) }}
+		ShouldWatch: func() bool { return p.shouldWatch(operatorTableReaders) }, Freshness: freshness.New()}
+	if o.Settings.Revocation.Strict {
+		p.operatorSyncer.LongPoll = p.configurationPollInterval
+	}
 	p.targetsSyncer = &storesync.Syncer{Store: o.Store, Replica: replica.New(o.Tables.Targets), Log: o.Log, OnChange: p.targetsChanged,
-		ShouldWatch: func() bool { return p.shouldWatch(targetsTableReaders) }, MinWatchInterval: minTargetsReadInterval}
+		ShouldWatch: func() bool { return p.shouldWatch(targetsTableReaders) }, MinWatchInterval: minTargetsReadInterval, Freshness: freshness.New()}
 	mesh, err := peers.New(peers.Options{
 		Self: peers.Self{Name: o.Settings.VM.Name, Zone: o.Settings.VM.Zone,
 			HeartbeatAddress: o.Settings.Listen.Datagrams, LinkAddress: o.Settings.Listen.Links},
 		Log: o.Log, Registry: p.registry, Replicas: []*replica.Replica{p.operatorSyncer.Replica, p.targetsSyncer.Replica},
 		ApplyDelta: p.applyDelta, Refresh: p.refresh, LastStoreContact: p.lastStoreContact, StoreUnreachable: p.storeUnreachable, Reachability: p.health,
+		Confirmed: p.confirmed, Confirm: p.confirm,
 	})
 	if err != nil {
 		return nil, err
@@ -139,7 +146,7 @@
 		Zone: p.vm.Zone, Instance: strconv.FormatUint(rand.Uint64(), 36),
 		Views: p.viewHolder, Protocol: o.Protocol, Pool: p.pool, Registry: p.registry, Health: p.health, Log: o.Log,
 		RetryBudget: forward.NewRetryBudget(p.retryLimits, vms), VMCount: vms,
-		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load,
+		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load, KeysUnconfirmed: p.keysAreUnconfirmed,
 	}
 	p.handler.Init()
 	p.registerGauges(o.DroppedLogLines)
@@ -150,6 +157,7 @@
 	p.metrics.NewGauge("oriole_requests_active", func() float64 { return float64(p.handler.Active()) })
 	p.metrics.NewGauge("oriole_peers_heard", func() float64 { return float64(p.mesh.Status().LiveVMs - 1) })
 	p.metrics.NewGauge("oriole_store_age_seconds", func() float64 { return p.mesh.Status().StoreAge.Seconds() })
+	p.metrics.NewGauge("oriole_configuration_age_seconds", func() float64 { return p.operatorSyncer.Freshness.Age().Seconds() })
 	p.metrics.NewGauge("oriole_targets", func() float64 { return float64(len(p.viewHolder.Get().Targets())) })
 	if droppedLogLines != nil {
 		p.metrics.NewGauge("oriole_log_lines_dropped", func() float64 { return float64(droppedLogLines()) })
@@ -163,10 +171,8 @@
 
 // refresh reads the changes of a table from the store.
 func (p *Process) refresh(ctx context.Context, table string) error {
-	for _, s := range p.syncers() {
-		if s.Replica.Table() == table {
-			return s.Refresh(ctx)
-		}
+	if s := p.syncerOf(table); s != nil {
+		return s.Refresh(ctx)
 	}
 	return fmt.Errorf("table %q is not replicated here", table)
 }
@@ -175,13 +181,38 @@
 	return []*storesync.Syncer{p.operatorSyncer, p.targetsSyncer}
 }
 
-// applyDelta applies changes received from another VM.
-func (p *Process) applyDelta(d replica.Delta) {
+// syncerOf returns the syncer of a table, or nil.
+func (p *Process) syncerOf(table string) *storesync.Syncer {
 	for _, s := range p.syncers() {
-		if s.Replica.Table() == d.Table {
-			s.Apply(d)
+		if s.Replica.Table() == table {
+			return s
 		}
 	}
+	return nil
+}
+
+// confirmed returns up to which time of the store's clock the replica of a table is
+// known to be current.
+func (p *Process) confirmed(table string) (time.Duration, bool) {
+	s := p.syncerOf(table)
+	if s == nil {
+		return 0, false
+	}
+	return s.Freshness.Confirmed()
+}
+
+// confirm records what another VM knows about a version of a table.
+func (p *Process) confirm(table string, version uint64, storeTime time.Duration) {
+	if s := p.syncerOf(table); s != nil {
+		s.Confirm(version, storeTime)
+	}
+}
+
+// applyDelta applies changes received from another VM.
+func (p *Process) applyDelta(d replica.Delta) {
+	if s := p.syncerOf(d.Table); s != nil {
+		s.Apply(d)
+	}
 }
 
 func (p *Process) operatorChanged(changed []replica.Record) {
@@ -293,6 +324,8 @@
 		reason = "no targets"
 	case p.isolated.Load():
 		reason = "isolated"
+	case p.keysUnconfirmed.Load():
+		reason = "API keys not confirmed"
 	}
 	if reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
@@ -315,6 +348,7 @@
 		}
 		p.viewBuilder.removeMissingTargets()
 		p.updateIsolation()
+		p.updateKeysUnconfirmed()
 		view := p.viewHolder.Get()
 		known := map[string]bool{}
 		for _, t := range view.Targets() {
--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolefront/oriolefront/internal/freshness"
 	"github.com/oriolefront/oriolefront/internal/replica"
 	"github.com/oriolefront/oriolefront/internal/wait"
 )
@@ -30,13 +32,29 @@
 	return fmt.Sprintf("the store rejected %s with status %d; the call will be retried", e.Path, e.Status)
 }
 
+// Listing holds all rows of a table.
+type Listing struct {
+	Records []replica.Record
+	// Version is the version of the store, and StoreTime the time of its steady clock,
+	// at which the rows were read.
+	Version   uint64
+	StoreTime time.Duration
+}
+
+// Changes are the changes of a table after a version.
+type Changes struct {
+	replica.Delta
+	// StoreTime is the time of the store's steady clock when the changes were read.
+	StoreTime time.Duration
+}
+
 // Store is the platform's table store.
 type Store interface {
-	// List returns all rows of a table and the version of the store.
-	List(ctx context.Context, table string) ([]replica.Record, uint64, error)
+	// List returns all rows of a table.
+	List(ctx context.Context, table string) (Listing, error)
 	// Watch waits up to wait for changes after a version and returns them. It
 	// returns ErrCompacted if they are no longer available.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (replica.Delta, error)
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 	// Put writes a row unconditionally.
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Remove deletes a row.
@@ -45,9 +63,9 @@
 
 // Intervals and timeouts of a Syncer.
 const (
-	// longPollTimeout is how long the store may hold a watch without changes. An
+	// defaultLongPoll is how long the store may hold a watch without changes. An
 	// unresponsive store is detected after this time plus watchGrace.
-	longPollTimeout = 4 * time.Second
+	defaultLongPoll = 4 * time.Second
 	watchGrace      = time.Second
 	listTimeout     = 1500 * time.Millisecond
 	// idleCheckInterval is how often a VM that does not watch checks ShouldWatch.
@@ -69,7 +87,15 @@
 	// MinWatchInterval is the delay after a response with changes before the next
 	// call, which then returns the changes of that time together.
 	MinWatchInterval time.Duration
+	// LongPoll returns how long the store may hold a watch without changes; nil means
+	// the default. The replica is confirmed to be current about as often.
+	LongPoll func() time.Duration
+	// Freshness records up to which time the replica is current.
+	Freshness *freshness.Tracker
 
+	// applying makes a change of the replica and its notification one step, so that the
+	// replica is not confirmed while OnChange has not seen a change yet.
+	applying    sync.Mutex
 	lastContact atomic.Pointer[time.Time] // time of the last response; nil if none
 	failing     atomic.Bool
 }
@@ -135,62 +161,101 @@
 func (s *Syncer) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	records, version, err := s.Store.List(ctx, s.Replica.Table())
+	sentAt := freshness.Uptime()
+	listing, err := s.Store.List(ctx, s.Replica.Table())
 	if err != nil {
 		return err
 	}
-	s.recordContact()
-	changed, fits := s.Replica.Replace(records, version)
+	s.recordContact(sentAt, listing.StoreTime)
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	changed, fits := s.Replica.Replace(listing.Records, listing.Version)
 	if !fits {
-		return fmt.Errorf("the store listed %s at version %d, older than the replica at version %d", s.Replica.Table(), version, s.Replica.Position())
+		return fmt.Errorf("the store listed %s at version %d, older than the replica at version %d", s.Replica.Table(), listing.Version, s.Replica.Position())
 	}
 	s.notify(changed)
+	s.Freshness.Confirm(listing.StoreTime)
 	return nil
 }
 
 func (s *Syncer) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, longPollTimeout+watchGrace)
+	longPoll := s.longPoll()
+	ctx, cancel := context.WithTimeout(ctx, longPoll+watchGrace)
 	defer cancel()
-	delta, err := s.Store.Watch(ctx, s.Replica.Table(), s.Replica.Position(), longPollTimeout)
+	changes, err := s.read(ctx, longPoll)
 	if err != nil {
 		return err
 	}
-	s.recordContact()
-	s.Apply(delta)
-	if len(delta.Records) > 0 {
+	if len(changes) > 0 {
 		wait.For(ctx, s.MinWatchInterval)
 	}
 	return nil
 }
 
+// longPoll returns how long the next watch may wait for changes. It does not wait when
+// the replica was not confirmed for long, for example after the VM was suspended.
+func (s *Syncer) longPoll() time.Duration {
+	if s.LongPoll == nil {
+		return defaultLongPoll
+	}
+	longPoll := s.LongPoll()
+	if s.Freshness.Age() > 2*longPoll {
+		return 0
+	}
+	return longPoll
+}
+
+// read reads the changes from the store, waits up to longPoll for one, and applies them.
+func (s *Syncer) read(ctx context.Context, longPoll time.Duration) ([]replica.Record, error) {
+	sentAt := freshness.Uptime()
+	changes, err := s.Store.Watch(ctx, s.Replica.Table(), s.Replica.Position(), longPoll)
+	if err != nil {
+		return nil, err
+	}
+	s.recordContact(sentAt, changes.StoreTime)
+	s.Apply(changes.Delta)
+	s.Confirm(changes.To, changes.StoreTime)
+	return changes.Records, nil
+}
+
+// Confirm records that the table held no changes after a version at a time of the
+// store's clock, if the replica has reached that version.
+func (s *Syncer) Confirm(version uint64, storeTime time.Duration) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if s.Replica.Position() >= version {
+		s.Freshness.Confirm(storeTime)
+	}
+}
+
 // Refresh reads the current changes from the store without waiting for others.
 func (s *Syncer) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	delta, err := s.Store.Watch(ctx, s.Replica.Table(), s.Replica.Position(), 0)
+	_, err := s.read(ctx, 0)
 	if errors.Is(err, ErrCompacted) {
 		return s.list(ctx)
 	}
-	if err != nil {
-		return err
-	}
-	s.recordContact()
-	s.Apply(delta)
-	return nil
+	return err
 }
 
 // Apply applies changes from the store or from another VM. It ignores changes
 // that leave a gap after the position of the replica.
 func (s *Syncer) Apply(d replica.Delta) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	changed, fits := s.Replica.Apply(d)
 	if fits {
 		s.notify(changed)
 	}
 }
 
-func (s *Syncer) recordContact() {
+// recordContact records a response of the store to a call that was sent at sentAt, an
+// uptime of the VM.
+func (s *Syncer) recordContact(sentAt, storeTime time.Duration) {
 	now := time.Now()
 	s.lastContact.Store(&now)
+	s.Freshness.ObserveClock(sentAt, storeTime)
 }
 
 func (s *Syncer) notify(changed []replica.Record) {
--- a/internal/storesync/storesync_test.go
+++ b/internal/storesync/storesync_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolefront/oriolefront/internal/freshness"
 	"github.com/oriolefront/oriolefront/internal/replica"
 )
 
@@ -20,19 +21,25 @@
 	list  func() ([]replica.Record, uint64, error)
 	watch func(after uint64) (replica.Delta, error)
 	lists int
+	// now is the store's clock; longPolls are the times that watches were allowed to wait.
+	now       time.Duration
+	longPolls []time.Duration
 }
 
-func (f *fakeStore) List(context.Context, string) ([]replica.Record, uint64, error) {
+func (f *fakeStore) List(context.Context, string) (Listing, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
-	return f.list()
+	records, version, err := f.list()
+	return Listing{Records: records, Version: version, StoreTime: f.now}, err
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (replica.Delta, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (Changes, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.watch(after)
+	f.longPolls = append(f.longPolls, wait)
+	d, err := f.watch(after)
+	return Changes{Delta: d, StoreTime: f.now}, err
 }
 
 func (f *fakeStore) Put(context.Context, string, string, []byte) error { return nil }
@@ -40,7 +47,7 @@
 
 func newFollower(s *fakeStore, changed func([]replica.Record)) *Syncer {
 	return &Syncer{Store: s, Replica: replica.New("t"), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		OnChange: changed, ShouldWatch: func() bool { return true }}
+		OnChange: changed, ShouldWatch: func() bool { return true }, Freshness: freshness.New()}
 }
 
 // Guards against changes that are missed when the store compacts its history: the
@@ -114,3 +121,45 @@
 	f.Run(ctx)
 	assert.Assert(t, watches <= 3, "%d calls", watches)
 }
+
+// Guards against a replica that counts as current without evidence for its content:
+// evidence for a version that the replica has not reached must not confirm it, and a
+// change confirms it only after OnChange has seen it.
+func TestConfirmation(t *testing.T) {
+	s := &fakeStore{now: 10 * time.Second}
+	var f *Syncer
+	f = newFollower(s, func([]replica.Record) {
+		_, ok := f.Freshness.Confirmed()
+		assert.Assert(t, !ok, "confirmed before OnChange")
+	})
+	f.Confirm(4, 9*time.Second)
+	_, ok := f.Freshness.Confirmed()
+	assert.Assert(t, !ok, "confirmed by evidence for a later version")
+	s.watch = func(after uint64) (replica.Delta, error) {
+		return replica.Delta{From: after, To: 4, Records: []replica.Record{{Key: "a", Version: 4}}}, nil
+	}
+	assert.NilError(t, f.Refresh(t.Context()))
+	at, ok := f.Freshness.Confirmed()
+	assert.Assert(t, ok)
+	assert.Equal(t, at, 10*time.Second)
+	f.Confirm(4, 11*time.Second)
+	at, _ = f.Freshness.Confirmed()
+	assert.Equal(t, at, 11*time.Second)
+}
+
+// Guards against a VM that was suspended and then waits for a whole long poll before it
+// knows again whether API keys were revoked.
+func TestUnconfirmedReplicaIsReadAtOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	s := &fakeStore{list: func() ([]replica.Record, uint64, error) { return nil, 1, nil }}
+	s.watch = func(after uint64) (replica.Delta, error) {
+		time.Sleep(10 * time.Millisecond)
+		return replica.Delta{From: after, To: after}, nil
+	}
+	f := newFollower(s, func([]replica.Record) {})
+	f.LongPoll = func() time.Duration { return 20 * time.Millisecond }
+	f.Run(ctx) // the store's clock stands still, so the evidence becomes old
+	assert.Equal(t, s.longPolls[0], 20*time.Millisecond)
+	assert.Equal(t, s.longPolls[len(s.longPolls)-1], time.Duration(0))
+}
--- a/internal/vmsettings/vmsettings.go
+++ b/internal/vmsettings/vmsettings.go
@@ -24,7 +24,9 @@
 	Memory  Memory  `toml:"memory"`
 	Stop    Stop    `toml:"stop"`
 	Retries Retries `toml:"retries"`
-	Log     Log     `toml:"log"`
+	// Revocation bounds how long a revoked API key stays valid.
+	Revocation Revocation `toml:"revocation"`
+	Log        Log        `toml:"log"`
 }
 
 // VM identifies this VM.
@@ -79,18 +81,34 @@
 	Window config.Duration `toml:"window"` // default "10s"
 }
 
+// Revocation configures how strictly revoked API keys are refused.
+type Revocation struct {
+	// Strict makes a VM refuse requests with a key when it cannot confirm, through the
+	// store or another VM, that the key was not revoked. Default false. A change needs
+	// a restart.
+	Strict bool `toml:"strict"`
+	// Bound is the time after which a revoked key must not be accepted anywhere. It
+	// applies if Strict is set. Default "5s".
+	Bound config.Duration `toml:"bound"`
+}
+
 // Log configures logging.
 type Log struct {
 	// Level is debug, info, warn or error. Default "info".
 	Level string `toml:"level"`
 }
 
+// MinRevocationBound is the shortest bound of a revocation: the configuration is read
+// from the store several times within it.
+const MinRevocationBound = time.Second
+
 // Defaults returns settings with all defaults and without required values.
 func Defaults() *Settings {
 	return &Settings{
-		Stop:    Stop{Grace: config.Duration(8 * time.Second)},
-		Retries: Retries{Ratio: 0.2, Slack: 100, Window: config.Duration(10 * time.Second)},
-		Log:     Log{Level: "info"},
+		Stop:       Stop{Grace: config.Duration(8 * time.Second)},
+		Retries:    Retries{Ratio: 0.2, Slack: 100, Window: config.Duration(10 * time.Second)},
+		Revocation: Revocation{Bound: config.Duration(5 * time.Second)},
+		Log:        Log{Level: "info"},
 	}
 }
 
@@ -156,6 +174,7 @@
 	c.require(s.Retries.Ratio >= 0, "retries.ratio", fmt.Sprint(s.Retries.Ratio), "a number of 0 or more")
 	c.require(s.Retries.Slack >= 0, "retries.slack", fmt.Sprint(s.Retries.Slack), "a number of 0 or more")
 	c.require(s.Retries.Window > 0, "retries.window", s.Retries.Window.Std().String(), "a duration above 0")
+	c.require(s.Revocation.Bound.Std() >= MinRevocationBound, "revocation.bound", s.Revocation.Bound.Std().String(), "a duration of "+MinRevocationBound.String()+" or more")
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
