Bytes without end and streams that only look alive

A stream whose target sends a blank line or a comment now and then never counted as stalled: each of these lines was taken for an event, and no other target continued it.

Change: the head of a response, with interim and late responses before it, may have 256 KiB; beyond that the connection is closed and the target has failed. Lines without a field are passed on but are no progress of a stream.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -31,6 +31,7 @@
 
 const (
 	maxErrorBodyBytes = 4 << 10
+	maxResponseHeader = 64 << 10 // bytes
 	endMark           = "[DONE]"
 	// streamBuffer is allocated twice for each open stream. Events are much
 	// smaller, and large bodies are written without this buffer.
@@ -50,6 +51,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      streamBuffer,
 		WriteBufferSize:     streamBuffer,
+		// A broken engine may send a head without end.
+		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 }
 
--- a/internal/engine/http_test.go
+++ b/internal/engine/http_test.go
@@ -111,3 +111,41 @@
 		assert.Assert(t, decoded.Stream)
 	})
 }
+
+// endlessHead accepts connections and sends a response whose head does not end. It returns
+// the address and the number of bytes sent on the first connection, once it is closed.
+func endlessHead(t *testing.T) (address string, sent <-chan int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	counts := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		total := 0
+		for chunk := "HTTP/1.1 200 OK\r\nX-Long: "; ; chunk = strings.Repeat("x", 32<<10) {
+			n, err := io.WriteString(c, chunk)
+			if total += n; err != nil {
+				counts <- total
+				return
+			}
+		}
+	}()
+	return l.Addr().String(), counts
+}
+
+// Guards against a process that runs out of memory because an engine sends a head without
+// end: the connection must be closed early.
+func TestEndlessHead(t *testing.T) {
+	const kernelBuffers = 8 << 20 // that the stand-in fills without a reader
+	address, sent := endlessHead(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := NewHTTPClient(address, NewTransport()).Load(ctx)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, ctx.Err(), "the call was ended by its timeout only")
+	assert.Assert(t, <-sent < kernelBuffers)
+}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -327,6 +327,15 @@
 			}
 			return outcomeUnknown, errors.Join(err, context.Cause(ctx))
 		}
+		if !event.HasFields {
+			if c.caller.headerSent {
+				c.caller.write(event.Bytes)
+			}
+			if c.caller.writeErr != nil {
+				return callerDisconnected, c.caller.writeErr
+			}
+			continue
+		}
 		running.FirstEvent()
 		watch.reset(eventGapTimeout(c))
 		if event.ID != "" && !isNewer(event.ID, c.caller.lastEventID) {
--- a/internal/sse/raw.go
+++ b/internal/sse/raw.go
@@ -11,6 +11,9 @@
 type RawEvent struct {
 	// ID is the value of the id field, "" without one.
 	ID string
+	// HasFields is false for blank and comment lines, which a target may send to keep a
+	// connection open. They are no progress of the stream.
+	HasFields bool
 	// Bytes is the complete event, including the empty line that ends it. It is valid until
 	// the next call to Next.
 	Bytes []byte
@@ -52,6 +55,7 @@
 			event.Bytes = r.event
 			return event, nil
 		}
+		event.HasFields = event.HasFields || text[0] != ':'
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			event.ID = string(bytes.TrimSpace(id))
 		}
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -41,6 +41,7 @@
 	defaultTotalTimeout = 4 * time.Second
 	defaultQueueLength  = 64
 	dialTimeout         = 500 * time.Millisecond
+	maxResponseHeader   = 64 << 10 // bytes
 	maxAttempts         = 3
 	backoffBase         = 20 * time.Millisecond
 	backoffMax          = 500 * time.Millisecond
@@ -98,6 +99,8 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
+			// A broken service may send a head without end.
+			MaxResponseHeaderBytes: maxResponseHeader,
 		}
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,6 +39,9 @@
 	// maxStaleResponses bounds the skipped responses to earlier requests.
 	maxStaleResponses = 2
 	readBufferBytes   = 2 << 10 // bytes
+	// maxHeadBytes bounds the status line and headers of a response, with the late and
+	// interim responses before it: a broken target may send bytes without end.
+	maxHeadBytes = 256 << 10
 )
 
 // Request is a request to a target.
@@ -100,6 +103,7 @@
 type conn struct {
 	net.Conn
 	key       string
+	limiter   *readLimiter // below reader
 	reader    *bufio.Reader
 	used      int
 	idleUntil time.Time     // when the idle connection expires
@@ -157,7 +161,8 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limiter := &readLimiter{reader: raw}
+	return &conn{Conn: raw, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 // CanConnect reports whether an address accepts a connection.
@@ -198,6 +203,8 @@
 // readResponse reads the status and header of the response. It skips late responses to
 // requests that were sent on the connection before.
 func (c *conn) readResponse(method string, matches func(http.Header) bool) (*http.Response, error) {
+	c.limiter.limit(maxHeadBytes)
+	defer c.limiter.unlimit()
 	for range maxStaleResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
