Queue woken by changes of the load, in an order; load reports of targets

Cause: queued calls polled each 20 ms in no order, two calls of one VM could choose the same slot in the same moment, and what targets tell of their load was not read.

Change: a queue a VM (internal/forward/queue.go). Calls that can still be on time are tried first, then by rank, the newest first among those on time, late ones in order of arrival; the first three are woken when the load known here changes, the others by time. The choice of a target and its entry in the registry are one step. The load header of a target is decoded; requests beyond those known here count for 0.4 s. Malformed or implausible reports are ignored with a log line.

Tests: TestQueueOrder, TestQueueKeepsEveryCall, TestLoadReports, FuzzLoadReport, TestReportedLoadOfOtherVMs, TestLoadReportsOfTargets.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -31,6 +31,8 @@
 	// failure is the error response of a target, kept in case no other target succeeds.
 	failure *bufferedResponse
 	caller  *callerWriter
+	// predictedFirstEvent is the predicted time to the first event, as of the last attempt to place the call.
+	predictedFirstEvent time.Duration
 	// queued is true once the call has waited for a target.
 	queued bool
 	// reservationCount makes the ids of the call's reservations unique.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,9 +51,13 @@
 	KeysUnconfirmed func() bool
 
 	bodyBudget *budget.Bytes
-	watchdogs  watchdogSet
-	stopping   atomic.Bool
-	active     atomic.Int64
+	queue      queue
+	// placing makes the choice of a target and its entry in the registry one step, so
+	// that two calls do not choose the same slot.
+	placing   sync.Mutex
+	watchdogs watchdogSet
+	stopping  atomic.Bool
+	active    atomic.Int64
 }
 
 // Init must be called before the handler is used.
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -38,6 +38,10 @@
 	// suspectUntil is the time until which another VM's report that it cannot reach the
 	// target is valid.
 	suspectUntil time.Time
+	// unknownRequests is the number of requests at the target that this VM did not know
+	// of when the target reported its load.
+	unknownRequests int
+	loadReportedAt  time.Time
 }
 
 // NewHealth returns a Health without recorded failures.
@@ -136,6 +140,14 @@
 	}
 }
 
+// RecordUnknownRequests records how many requests a target has that this VM does not know.
+func (h *Health) RecordUnknownRequests(target string, n int, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.entry(target, now)
+	t.unknownRequests, t.loadReportedAt = n, now
+}
+
 // MarkReplaced records that the address of a target belongs to another one now.
 func (h *Health) MarkReplaced(target string) {
 	h.mu.Lock()
@@ -158,6 +170,9 @@
 	Suspect bool
 	// Replaced is true for a target whose address belongs to another one now.
 	Replaced bool
+	// UnknownRequests is the number of requests of the target beyond those that are
+	// known here, by its own recent report.
+	UnknownRequests int
 }
 
 // Status returns the health of a target at the given time.
@@ -168,7 +183,11 @@
 	if t == nil {
 		return HealthStatus{}
 	}
-	return HealthStatus{FailureRate: t.decayedFailureRate(now), Unreachable: now.Before(t.unreachableUntil), Suspect: now.Before(t.suspectUntil), Replaced: t.replaced}
+	status := HealthStatus{FailureRate: t.decayedFailureRate(now), Unreachable: now.Before(t.unreachableUntil), Suspect: now.Before(t.suspectUntil), Replaced: t.replaced}
+	if now.Sub(t.loadReportedAt) < loadReportTTL {
+		status.UnknownRequests = t.unknownRequests
+	}
+	return status
 }
 
 // A zone is suspect when at least suspectZoneMinTargets of its targets, and at least the
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -11,7 +11,6 @@
 	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/placement"
 	"github.com/oriolefront/oriolefront/internal/topology"
-	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // Parameters of the queue for a target.
@@ -31,6 +30,8 @@
 	target *topology.Target
 	// plan is set for engines, nil for plain targets.
 	plan *placement.Plan
+	// running is the entry of the attempt in the registry.
+	running *inflight.Running
 	// firstEvent is the expected time to the first event, or to the response.
 	firstEvent time.Duration
 }
@@ -38,41 +39,81 @@
 // place chooses the target of the next attempt. It queues the call while no engine has
 // free capacity, as long as the request can still be served.
 func (h *Handler) place(ctx context.Context, c *call) (*destination, *refusal) {
+	w := newWaiter(c)
+	waiting := false
+	defer func() {
+		if waiting {
+			h.queue.remove(w)
+			h.queue.wakeFirst()
+		}
+	}()
 	for {
 		if f := h.recheckKey(c); f != nil {
 			return nil, f
 		}
-		view := h.Views.Get()
-		service := view.Service(c.service)
-		loads := h.Registry.Loads()
-		targets := h.candidates(view, c)
-		c.suspectZones = h.Health.suspectZones(view.Usable(c.service), time.Now())
-		available := h.excludeUnreachable(h.excludeSaturatedCold(targets, loads))
-		var d *destination
-		var f *refusal
-		switch {
-		case len(targets) == 0:
-			return nil, refuseNoTarget
-		case len(available) == 0:
-			f = refuseBusy
-		case service == nil || service.Engine == nil || c.meta.PromptTokens == 0:
-			d = h.placePlain(available, loads, c)
-		default:
-			d, f = h.placeEngine(service.Engine, available, loads, c)
-		}
+		d, f := h.tryPlace(c)
 		if d != nil || !h.mayQueue(c, f) {
 			return d, f
 		}
+		if !waiting {
+			waiting = true
+			h.queue.add(w)
+		}
+		if time.Since(c.arrived)+c.predictedFirstEvent > c.route.Objective {
+			h.queue.markLate(w)
+		}
 		if !c.queued {
 			c.queued = true
 			h.Log.Info("queued", "request", c.meta.ID, "prompt", c.meta.PromptTokens, "left", c.remaining().Round(time.Millisecond), "reason", f.reason)
 		}
-		if !wait.For(ctx, placementInterval/2+rand.N(placementInterval)) {
+		if !w.wait(ctx, placementInterval/2+rand.N(placementInterval)) {
 			return nil, f
 		}
 	}
 }
 
+// tryPlace chooses a target for the next attempt and enters the attempt in the registry.
+// It returns a refusal if no target should get the call now.
+func (h *Handler) tryPlace(c *call) (*destination, *refusal) {
+	h.placing.Lock()
+	defer h.placing.Unlock()
+	d, f := h.chooseTarget(c)
+	if d != nil {
+		d.running = h.Registry.Start(c.inflightRequest(d))
+	}
+	return d, f
+}
+
+func (h *Handler) chooseTarget(c *call) (*destination, *refusal) {
+	view := h.Views.Get()
+	service := view.Service(c.service)
+	loads := h.Registry.Loads()
+	targets := h.candidates(view, c)
+	c.suspectZones = h.Health.suspectZones(view.Usable(c.service), time.Now())
+	available := h.excludeUnreachable(h.excludeSaturatedCold(targets, loads))
+	switch {
+	case len(targets) == 0:
+		return nil, refuseNoTarget
+	case len(available) == 0:
+		return nil, refuseBusy
+	case service == nil || service.Engine == nil || c.meta.PromptTokens == 0:
+		return h.placePlain(available, loads, c), nil
+	}
+	return h.placeEngine(service.Engine, available, loads, c)
+}
+
+// inflightRequest describes the attempt at a destination to the other VMs.
+func (c *call) inflightRequest(d *destination) inflight.Request {
+	request := inflight.Request{
+		Target: d.target.ID, PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens,
+		MaxEventGap: c.route.MaxEventGap,
+	}
+	if d.plan != nil {
+		request.Helpers, request.Reserved = targetIDs(d.plan.Helpers), d.plan.ReserveTokens > 0
+	}
+	return request
+}
+
 // recheckKey checks the key of a queued call again. A call that a target may have received
 // is not refused any more.
 func (h *Handler) recheckKey(c *call) *refusal {
@@ -179,7 +220,7 @@
 	for i := range targets {
 		t := targets[(first+i)%len(targets)]
 		status := h.Health.Status(t.ID, now)
-		cost := float64(len(loads.Of(t.ID).Requests))/float64(t.Slots) + plainFailureCost*status.FailureRate
+		cost := float64(len(loads.Of(t.ID).Requests)+status.UnknownRequests)/float64(t.Slots) + plainFailureCost*status.FailureRate
 		if status.Suspect || c.suspectZones[t.Zone] {
 			cost += plainSuspectCost
 		}
@@ -204,7 +245,8 @@
 		MaxEventGap: c.route.MaxEventGap, Objective: c.route.Objective, Waited: time.Since(c.arrived), TimeLeft: c.remaining(),
 	}
 	plan, ok := placement.Choose(model, engines, request)
-	if !ok || plan.TimeToFirstEvent > c.remaining() {
+	c.predictedFirstEvent = plan.TimeToFirstEvent
+	if !ok || plan.TimeToFirstEvent > request.TimeLeft {
 		return nil, refuseBusy
 	}
 	if plan.Decide(request) == placement.Defer {
@@ -227,7 +269,7 @@
 		load := loads.Of(t.ID)
 		engines = append(engines, placement.Engine{
 			Target: t, Requests: load.Requests, Parts: load.Parts, Ended: load.Ended,
-			FailureRate: status.FailureRate, Unreachable: status.Unreachable, Suspect: status.Suspect || suspectZones[t.Zone], RemoteZone: t.Zone != h.Zone, Jitter: maxJitter * rand.Float64(),
+			Unknown: status.UnknownRequests, FailureRate: status.FailureRate, Unreachable: status.Unreachable, Suspect: status.Suspect || suspectZones[t.Zone], RemoteZone: t.Zone != h.Zone, Jitter: maxJitter * rand.Float64(),
 		})
 	}
 	return engines
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -49,6 +49,17 @@
 	FailedAddress string
 	// ColdRemaining is how long the target will remain cold.
 	ColdRemaining time.Duration
+	// Load is the load that the target reports; nil if it reports none. LoadError is set
+	// if the report could not be decoded.
+	Load      *TargetLoad
+	LoadError error
+}
+
+// TargetLoad is the load of a target as it reports it in a response.
+type TargetLoad struct {
+	Running int
+	Waiting int
+	Slots   int
 }
 
 // Protocol translates between this package and the headers and commands of the platform.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -139,15 +139,8 @@
 func (h *Handler) attempt(ctx context.Context, c *call, d *destination) (outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	request := inflight.Request{
-		Target: d.target.ID, PromptTokens: c.meta.PromptTokens, OutputTokens: c.meta.OutputTokens,
-		MaxEventGap: c.route.MaxEventGap,
-	}
 	var helpers []string
-	if d.plan != nil {
-		request.Helpers, request.Reserved = targetIDs(d.plan.Helpers), d.plan.ReserveTokens > 0
-	}
-	running := h.Registry.Start(request)
+	running := d.running
 	defer running.Done()
 	if d.plan != nil && len(d.plan.Helpers) > 0 {
 		reserved, names, err := h.prepareHelpers(ctx, c, d.plan)
@@ -171,6 +164,7 @@
 	defer e.Close()
 	c.attemptsSent++
 	info := h.Protocol.ParseResponse(e.StatusCode, e.Header)
+	h.recordLoad(c, d.target, info)
 	o, err := h.relay(ctx, c, d.target, e, info, running, watch)
 	h.Health.RecordOutcome(d.target.ID, o)
 	return o, err
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -94,6 +94,8 @@
 type Registry struct {
 	// OnChange is called after each change of this VM's own requests.
 	OnChange func()
+	// OnPeerChange is called after each change of another VM's requests.
+	OnPeerChange func()
 
 	mu     sync.Mutex
 	local  map[*Running]struct{}
@@ -215,14 +217,24 @@
 
 // ReplacePeer replaces the requests of another VM by those of its full report.
 func (reg *Registry) ReplacePeer(name string, states []RequestState) {
+	defer reg.notifyPeerChange()
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	delete(reg.peers, name)
 	reg.mergePeer(name, states)
 }
 
+func (reg *Registry) notifyPeerChange() {
+	if reg.OnPeerChange != nil {
+		reg.OnPeerChange()
+	}
+}
+
 // UpdatePeer applies a delta report of another VM.
 func (reg *Registry) UpdatePeer(name string, changed []RequestState, removed []uint64) {
+	if len(changed)+len(removed) > 0 {
+		defer reg.notifyPeerChange()
+	}
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	reg.mergePeer(name, changed)
@@ -242,6 +254,26 @@
 	}
 }
 
+// Count returns the number of requests of all VMs at a target.
+func (reg *Registry) Count(target string) int {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	n := 0
+	for r := range reg.local {
+		if r.request.Target == target {
+			n++
+		}
+	}
+	for _, requests := range reg.peers {
+		for _, r := range requests {
+			if r.Target == target && !r.Ended {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Load is the in-flight load of one target from all VMs.
 type Load struct {
 	Requests []RequestState
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -23,6 +23,8 @@
 	// Ended are finished requests and parts whose prefill delayed those that
 	// remain.
 	Ended []inflight.RequestState
+	// Unknown is the number of further requests that the engine itself reports.
+	Unknown int
 	// Slowdown is the factor by which the engine is slower than its model; 1 when
 	// it is unknown.
 	Slowdown float64
@@ -83,7 +85,7 @@
 const strictEventGap = 400 * time.Millisecond
 
 func summarise(m *topology.EngineModel, e Engine) engineLoad {
-	l := engineLoad{Engine: e, freeSlots: m.Slots - len(e.Requests)}
+	l := engineLoad{Engine: e, freeSlots: m.Slots - len(e.Requests) - e.Unknown}
 	l.Slowdown = max(l.Slowdown, 1)
 	decodingCount, context := 0, 0
 	var prefills []enginemodel.Prefill
@@ -168,7 +170,10 @@
 	for _, req := range l.Requests {
 		total += time.Duration(enginemodel.EventCount(m, req.OutputTokens)) * l.iterationTime
 	}
-	mean := total / time.Duration(len(l.Requests))
+	if len(l.Requests) == 0 { // all requests are unknown
+		total = l.iterationTime
+	}
+	mean := total / time.Duration(max(len(l.Requests), 1))
 	return mean * time.Duration(nth) / time.Duration(m.Slots)
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -138,7 +138,6 @@
 		return nil, err
 	}
 	p.mesh = mesh
-	p.registry.OnChange = mesh.ScheduleHeartbeat
 	dialed := p.metrics.NewCounter("oriole_target_connections_total")
 	p.pool = upstream.NewPool(dialed.Inc)
 	vms := func() int { return mesh.Status().KnownPeers + 1 }
@@ -149,6 +148,11 @@
 		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load, KeysUnconfirmed: p.keysAreUnconfirmed,
 	}
 	p.handler.Init()
+	p.registry.OnChange = func() {
+		mesh.ScheduleHeartbeat()
+		p.handler.LoadChanged()
+	}
+	p.registry.OnPeerChange = p.handler.LoadChanged
 	p.registerGauges(o.DroppedLogLines)
 	return p, nil
 }
