Freshness: a missing or impossible time of the store is no evidence

Found on reading the diff: one response without the store's time would have made the offset of its clock far too small, and the configuration would have counted as current for ever; so would evidence from the future in a damaged heartbeat. Both are ignored now, and an impossible time that came before the clock was known counts as no evidence. TestImpossibleEvidenceIsIgnored failed before.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -44,8 +44,11 @@
 
 // ObserveClock records that the response to a call sent at sentAt, an Uptime, showed the
 // store's clock at storeTime. The store's clock is never underestimated, because the
-// response was made after the call was sent.
+// response was made after the call was sent. A response without a time is ignored.
 func (t *Tracker) ObserveClock(sentAt, storeTime time.Duration) {
+	if storeTime <= 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	offset := storeTime - sentAt
@@ -54,15 +57,28 @@
 	}
 }
 
-// Confirm records that the replica held all changes up to storeTime.
+// Confirm records that the replica held all changes up to storeTime. A time that is missing,
+// or that the store's clock cannot have reached, is ignored.
 func (t *Tracker) Confirm(storeTime time.Duration) {
+	if storeTime <= 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.confirmed || storeTime > t.confirmedAt {
+	if !t.possible(storeTime) {
+		return
+	}
+	if !t.confirmed || storeTime > t.confirmedAt || !t.possible(t.confirmedAt) {
 		t.confirmed, t.confirmedAt = true, storeTime
 	}
 }
 
+// possible reports whether the store's clock can have reached storeTime, as far as is known.
+// The caller must hold mu.
+func (t *Tracker) possible(storeTime time.Duration) bool {
+	return !t.clockKnown || storeTime <= t.uptime()+t.offset
+}
+
 // Confirmed returns the store's time up to which the replica is known to be current.
 func (t *Tracker) Confirmed() (storeTime time.Duration, ok bool) {
 	t.mu.Lock()
@@ -75,8 +91,8 @@
 func (t *Tracker) Age() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.confirmed || !t.clockKnown {
+	if !t.confirmed || !t.clockKnown || !t.possible(t.confirmedAt) {
 		return Unknown
 	}
-	return max(t.uptime()+t.offset-t.confirmedAt, 0)
+	return t.uptime() + t.offset - t.confirmedAt
 }
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -26,6 +26,24 @@
 	assert.Equal(t, tracker.Age(), 10*time.Second)
 }
 
+// Guards against a replica that counts as current for ever after one wrong message: a
+// response without the store's time, or evidence from the future.
+func TestImpossibleEvidenceIsIgnored(t *testing.T) {
+	now := 100 * time.Second
+	tracker := New()
+	tracker.uptime = func() time.Duration { return now }
+	tracker.Confirm(time.Hour) // before the store's clock is known
+	tracker.ObserveClock(now, 5*time.Second)
+	assert.Equal(t, tracker.Age(), Unknown)
+	tracker.Confirm(5 * time.Second)
+	assert.Equal(t, tracker.Age(), time.Duration(0))
+	tracker.ObserveClock(now, 0)
+	tracker.Confirm(0)
+	tracker.Confirm(time.Hour)
+	now += 10 * time.Second
+	assert.Equal(t, tracker.Age(), 10*time.Second)
+}
+
 // Guards against an age that is too small, for any order and delay of responses: a
 // revoked API key would be accepted for too long.
 func TestAgeIsAnUpperBound(t *testing.T) {
