--- a/internal/storesync/storesync_test.go
+++ b/internal/storesync/storesync_test.go
@@ -21,7 +21,7 @@
 	list  func() ([]replica.Record, uint64, error)
 	watch func(after uint64) (replica.Delta, error)
 	lists int
-	// now is the store's clock; longPolls are the times that watches were allowed to wait.
+	// now is the store's clock, 0 if it is not told; longPolls are the times that watches were allowed to wait.
 	now       time.Duration
 	longPolls []time.Duration
 }
@@ -152,16 +152,19 @@
 // Guards against a VM that was suspended and then waits for a whole long poll before it
 // knows again whether API keys were revoked.
 func TestUnconfirmedReplicaIsReadAtOnce(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
-	s := &fakeStore{now: time.Second, list: func() ([]replica.Record, uint64, error) { return nil, 1, nil }}
-	s.watch = func(after uint64) (replica.Delta, error) {
-		time.Sleep(10 * time.Millisecond)
-		return replica.Delta{From: after, To: after}, nil
+	const longPoll = 20 * time.Second
+	const storeTime = 2 * time.Minute // the store's clock now
+	for confirmedAt, want := range map[time.Duration]time.Duration{
+		storeTime:               longPoll,
+		storeTime - time.Minute: 0, // longer ago than two long polls
+		0:                       0, // never
+	} {
+		s := &fakeStore{watch: func(after uint64) (replica.Delta, error) { return replica.Delta{From: after, To: after}, nil }}
+		f := newFollower(s, func([]replica.Record) {})
+		f.LongPoll = func() time.Duration { return longPoll }
+		f.Freshness.ObserveClock(freshness.Uptime(), storeTime)
+		f.Freshness.Confirm(confirmedAt)
+		assert.NilError(t, f.watch(t.Context()))
+		assert.Equal(t, s.longPolls[0], want, "confirmed at %s", confirmedAt)
 	}
-	f := newFollower(s, func([]replica.Record) {})
-	f.LongPoll = func() time.Duration { return 20 * time.Millisecond }
-	f.Run(ctx) // the store's clock stands still, so the evidence becomes old
-	assert.Equal(t, s.longPolls[0], 20*time.Millisecond)
-	assert.Equal(t, s.longPolls[len(s.longPolls)-1], time.Duration(0))
 }
