Log why a response is interrupted, and panics of handlers

Callers saw a connection that ended without a complete response, and the log said only "response interrupted" with the number of events. Three causes look the same there: an attempt that was given up with nothing to follow it, a panic (net/http logs it at level debug, which no VM writes), and a stall of the VM itself.

The line now names how the last attempt ended, how long ago the last event was sent, and why no attempt followed (retryDenial, the placement's refusal). A panic is an error line with its stack and a counter; a caller that leaves while its request is queued has a line, too. No decision changes.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -28,6 +28,11 @@
 	suspectZones map[string]bool
 	// mayHaveRun is true once a target may have started to process the request.
 	mayHaveRun bool
+	// lastOutcome and lastErr are the result of the last attempt; noRetry is why no other
+	// attempt follows it.
+	lastOutcome outcome
+	lastErr     error
+	noRetry     retryDenial
 	// failure is the error response of a target, kept in case no other target succeeds.
 	failure *bufferedResponse
 	caller  *callerWriter
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	c := &call{request: r, arrived: time.Now(), tried: map[string]bool{}, caller: newCallerWriter(w)}
+	defer h.reportPanic(c)
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -93,6 +95,20 @@
 	h.serve(ctx, c)
 }
 
+// reportPanic logs a panic while a request is served, and lets net/http close the connection.
+func (h *Handler) reportPanic(c *call) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	if r != http.ErrAbortHandler {
+		h.Metrics.CountPanic()
+		h.Log.Error("request handler panicked", "request", c.meta.ID, "panic", r, "stack", string(debug.Stack()))
+		r = http.ErrAbortHandler
+	}
+	panic(r)
+}
+
 func (h *Handler) setWriteDeadline(c *call) {
 	err := c.caller.control.SetWriteDeadline(c.deadline.Add(writeGrace))
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -23,6 +23,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`oriole_refused_total{status="%d"}`, status)).Inc()
 }
 
+// CountPanic counts a request whose handler panicked.
+func (m *Metrics) CountPanic() { m.set.GetOrCreateCounter("oriole_panics_total").Inc() }
+
 // ObserveRequest records the outcome and the duration of a call that was not refused.
 func (m *Metrics) ObserveRequest(kind string, o outcome, d time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`oriole_requests_total{kind=%q,outcome=%q}`, kind, o)).Inc()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -46,13 +46,16 @@
 	for {
 		d, f := h.place(ctx, c)
 		if d == nil {
+			c.noRetry = deniedNoTarget
 			h.finish(ctx, c, f)
 			return
 		}
 		h.logPlacement(c, d)
 		o, err := h.attempt(ctx, c, d)
+		c.lastOutcome, c.lastErr = o, err
 		if o == noCapacity {
 			if time.Since(c.arrived) > c.maxQueueTime() || !wait.For(ctx, reserveRetryDelay) {
+				c.noRetry = deniedNoTarget
 				h.finish(ctx, c, refuseBusy)
 				return
 			}
@@ -69,28 +72,44 @@
 		if o == outcomeUnknown {
 			c.mayHaveRun = true
 		}
-		if !h.mayRetry(ctx, c, o) {
+		if c.noRetry = h.mayRetry(ctx, c, o); c.noRetry != retryAllowed {
 			h.finish(ctx, c, nil)
 			return
 		}
 	}
 }
 
-// mayRetry reports whether the request may be sent to another target.
-func (h *Handler) mayRetry(ctx context.Context, c *call, o outcome) bool {
-	if c.expired(ctx) || c.caller.writeErr != nil {
-		return false
-	}
-	if o == notSent {
-		return len(c.tried) < maxUnreachable
-	}
-	if c.attemptsSent >= c.route.MaxTargets {
-		return false
-	}
-	if o != notRun && !c.route.Retryable() {
-		return false
+// retryDenial states why a call gets no further attempt.
+type retryDenial string
+
+// The reasons to end a call without a further attempt.
+const (
+	retryAllowed        retryDenial = ""
+	deniedExpired       retryDenial = "the deadline passed or the caller disconnected"
+	deniedUnreachable   retryDenial = "too many unreachable targets"
+	deniedMaxTargets    retryDenial = "sent to as many targets as the route allows"
+	deniedNotRepeatable retryDenial = "the request may have run and must not run twice"
+	deniedBudget        retryDenial = "retry budget used up"
+	deniedNoTarget      retryDenial = "no target could take the request"
+)
+
+// mayRetry returns retryAllowed if the request may be sent to another target, or else the reason.
+func (h *Handler) mayRetry(ctx context.Context, c *call, o outcome) retryDenial {
+	switch {
+	case c.expired(ctx) || c.caller.writeErr != nil:
+		return deniedExpired
+	case o == notSent && len(c.tried) < maxUnreachable:
+		return retryAllowed
+	case o == notSent:
+		return deniedUnreachable
+	case c.attemptsSent >= c.route.MaxTargets:
+		return deniedMaxTargets
+	case o != notRun && !c.route.Retryable():
+		return deniedNotRepeatable
+	case !h.RetryBudget.Allow(c.service):
+		return deniedBudget
 	}
-	return h.RetryBudget.Allow(c.service)
+	return retryAllowed
 }
 
 // maxUnreachable bounds the unreachable targets that are tried for one request.
@@ -102,10 +121,11 @@
 	case c.caller.headerSent:
 		// The connection is aborted, so that the caller does not take a partial response
 		// for a complete one.
-		h.Log.Warn("response interrupted", "request", c.meta.ID, "events", c.caller.events, "last", c.caller.lastEventID)
+		h.logInterruption(c, f)
 		h.Metrics.CountRefusal(0)
 		panic(http.ErrAbortHandler)
 	case c.request.Context().Err() != nil:
+		h.Log.Info("caller disconnected", "request", c.meta.ID, "after", time.Since(c.arrived).Round(time.Millisecond), "last_outcome", c.lastOutcome.String())
 		h.Metrics.ObserveRequest(c.route.Kind.String(), callerDisconnected, time.Since(c.arrived))
 	case c.failure != nil:
 		h.Metrics.ObserveRequest(c.route.Kind.String(), failed, time.Since(c.arrived))
@@ -123,6 +143,19 @@
 	}
 }
 
+// logInterruption logs why a response that had begun is not completed: how its last attempt
+// ended, and why no other attempt continues it. f is the refusal of a further placement, or nil.
+func (h *Handler) logInterruption(c *call, f *refusal) {
+	placement := ""
+	if f != nil {
+		placement = f.reason
+	}
+	h.Log.Warn("response interrupted", "request", c.meta.ID, "route", c.route.Name, "events", c.caller.events, "last", c.caller.lastEventID,
+		"after", time.Since(c.arrived).Round(time.Millisecond), "left", c.remaining().Round(time.Millisecond),
+		"since_event", time.Since(c.caller.lastEventAt).Round(time.Millisecond), "attempts", c.attemptsSent,
+		"last_outcome", c.lastOutcome.String(), "last_error", c.lastErr, "no_retry", string(c.noRetry), "placement", placement)
+}
+
 // logPlacement logs the reason for the choice of a destination.
 func (h *Handler) logPlacement(c *call, d *destination) {
 	reason := "least loaded"
