oriolegate: handle SIGHUP before the settings are read

A SIGHUP that came while the process read its settings and opened its sockets ended it: the handler was installed after both, and the default action of SIGHUP is to end the process.

The handler is installed first; a signal that comes during the start reads the settings again once the process serves.

A signal within the first milliseconds, before main, still ends the process.

--- a/cmd/oriolegate/main.go
+++ b/cmd/oriolegate/main.go
@@ -44,6 +44,10 @@
 }
 
 func run() int {
+	// A SIGHUP ends a process that does not handle it, so it is handled before the settings
+	// are read.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	program := cli.Program[*vmsettings.Settings]{
 		Name: "oriolegate", UsageText: usageText, SettingsHelp: "TOML `file` with the settings (default: named by the platform)", DefaultFile: os.Getenv(platform.SettingsPathVariable), Load: vmsettings.Load,
 	}
@@ -51,10 +55,12 @@
 	if ended {
 		return code
 	}
-	return serve(s, file)
+	return serve(s, file, hangups)
 }
 
-func serve(s *vmsettings.Settings, file string) int {
+// serve runs the process until a signal ends it. It reads the settings again for each value
+// of hangups.
+func serve(s *vmsettings.Settings, file string, hangups <-chan os.Signal) int {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.Memory.LimitMB) * (1 << 20)))
 	out := logging.NewAsyncWriter(os.Stdout)
@@ -75,8 +81,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			p.Reload()
