Final responses after the deadline: time to be written counts from now

Callers of a VM that was paused, or had no processor time, while a request's deadline or its route's timeout passed got a closed connection: neither a response nor a refusal. The write deadline of a connection lies 0.4 s after the request's deadline; a VM that comes to its 504 later than that could not write it any more.

Change: a response that the VM generates, or a kept failure of a target, gets the 0.4 s from the moment at which it is written. The bound on callers that read slowly stays.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// extendWriteDeadline gives a final response that is generated after the deadline the usual
+// time to be written. A VM that was paused or short of processor time comes to it late.
+func (h *Handler) extendWriteDeadline(c *call) {
+	now := time.Now()
+	if now.Before(c.deadline) {
+		return
+	}
+	err := c.caller.control.SetWriteDeadline(now.Add(writeGrace))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		h.Log.Warn("write deadline of the caller not extended", "request", c.meta.ID, "error", err)
+	}
+}
+
 // setReadDeadline bounds the time to read a body; the zero time removes the bound.
 func (h *Handler) setReadDeadline(c *call, at time.Time) {
 	if c.request.ContentLength == 0 {
@@ -275,5 +288,6 @@
 	h.Metrics.CountRefusal(f.status)
 	h.Log.Info("request refused", "request", c.meta.ID, "status", f.status, "reason", f.reason,
 		"after", time.Since(c.arrived).Round(time.Millisecond), "prompt", c.meta.PromptTokens)
+	h.extendWriteDeadline(c)
 	f.write(c.caller, h.Protocol, c.meta.ID)
 }
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -129,6 +129,7 @@
 		h.Metrics.ObserveRequest(c.route.Kind.String(), callerDisconnected, time.Since(c.arrived))
 	case c.failure != nil:
 		h.Metrics.ObserveRequest(c.route.Kind.String(), failed, time.Since(c.arrived))
+		h.extendWriteDeadline(c)
 		c.caller.writeResponse(c.failure)
 	case c.mayHaveRun && c.remaining() <= 0:
 		h.refuse(c, failTimeout)
