forward: keep a silent target until a standby attempt has a response

A sound target may be silent for a second and go on.

Cause: the watchdog cancelled an attempt as soon as some other target existed. Whether that target had room, whether it accepted the request and whether the retry budget allowed it was found out afterwards, when the first response could no longer be read.

Change: while a target is silent or accepts no connection, a standby attempt is made beside the first one, within MaxTargets and the retry budget, with the normal placement and the last event id of the caller. It takes over, and the first attempt is cancelled, only when it has something for the caller: a new event of a stream, or else a complete or begun response other than 5xx. If the first target goes on, the standby attempt is cancelled. If the first attempt breaks, the call waits for the standby attempt. A standby attempt that was never sent gives its retry back. A request counts as sent from its placement on, so that two attempts at once stay within MaxTargets. All that was aborted when a reserve command found an engine unreachable gets a standby attempt instead.

The new unit tests fail when the standby or the first attempt is not cancelled, when a dismissed standby takes over, when no retry is given back, when MaxTargets is not checked, and when the call does not wait for the standby (each tried by hand).

--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,271 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/sse"
+	"github.com/oriolefront/oriolefront/internal/topology"
+	"github.com/oriolefront/oriolefront/internal/upstream"
+	"github.com/oriolefront/oriolefront/internal/wait"
+)
+
+// minTimeout is the shortest timeout that a target is given.
+const minTimeout = time.Millisecond
+
+// attempt is one attempt to get a call's response from a target. One goroutine uses it at a time.
+type attempt struct {
+	d           *destination
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	reservation *reservation // nil without reserved memory
+	helpers     []string     // as they are named to the target
+	// resume is what the caller had of the response when the attempt was prepared.
+	resume progress
+	// watch is nil for a standby attempt that has not taken over.
+	watch *watchdog
+
+	// exchange is nil until the target's response begins.
+	exchange *upstream.Exchange
+	// events is set for a stream; firstEvent is its first event that is new to the caller,
+	// unless the stream ended without one.
+	events      *sse.RawReader
+	firstEvent  sse.RawEvent
+	streamEnded bool
+	// complete is set for another response that was read completely. firstBytes is the begin
+	// of a longer one.
+	complete   *bufferedResponse
+	firstBytes []byte
+
+	ended bool
+	// cause is why the attempt was cancelled before its end; nil if it was not.
+	cause error
+}
+
+// end releases everything that the attempt holds. Its target cancels an incomplete request.
+func (a *attempt) end() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.cause = context.Cause(a.ctx)
+	a.cancel(nil)
+	if a.watch != nil {
+		a.watch.stop()
+	}
+	if a.exchange != nil {
+		a.exchange.Close()
+	}
+	if a.reservation != nil {
+		a.reservation.release()
+	}
+	a.d.running.Done()
+}
+
+// prepare chooses the target of the next attempt and reserves the memory that it needs. The
+// attempt counts as sent from then on. It returns a refusal if no target could be found.
+func (h *Handler) prepare(ctx context.Context, c *call) (*attempt, *refusal) {
+	for {
+		d, f := h.place(ctx, c)
+		if d == nil {
+			return nil, f
+		}
+		h.logPlacement(c, d)
+		a := &attempt{d: d, resume: c.progress}
+		a.ctx, a.cancel = context.WithCancelCause(ctx)
+		err := h.prepareHelpers(c, a)
+		if err == nil {
+			c.tried[d.target.ID] = true
+			c.attemptsSent++
+			return a, nil
+		}
+		a.end()
+		c.lastOutcome, c.lastErr = noCapacity, err
+		if h.queueTimeExpired(c) || !wait.For(ctx, reserveRetryDelay) {
+			return nil, refuseBusy
+		}
+	}
+}
+
+// prepareHelpers reserves the memory that the plan of the attempt needs, and sets the helpers.
+func (h *Handler) prepareHelpers(c *call, a *attempt) error {
+	plan := a.d.plan
+	if plan == nil || len(plan.Helpers) == 0 {
+		return nil
+	}
+	if plan.ReserveTokens == 0 {
+		a.helpers = h.formatHelpers(plan.Helpers, "")
+		return nil
+	}
+	r, err := h.reserve(a.ctx, c, plan)
+	if err != nil {
+		h.Log.Info("memory not reserved", "request", c.meta.ID, "error", err)
+		return err
+	}
+	a.reservation, a.helpers = r, h.formatHelpers(r.targets, r.id)
+	return nil
+}
+
+func (h *Handler) formatHelpers(targets []*topology.Target, reservation string) []string {
+	var names []string
+	for _, t := range targets {
+		names = append(names, h.Protocol.FormatHelper(t.Address, reservation))
+	}
+	return names
+}
+
+// buildRequest builds the request for the target of an attempt.
+func (h *Handler) buildRequest(c *call, a *attempt) upstream.Request {
+	left := max(c.remaining(), minTimeout)
+	info := ForwardInfo{Timeout: left, Target: a.d.target.ID, Account: c.accountName(), Urgency: -1, LastEventID: a.resume.lastEventID, Helpers: a.helpers}
+	return upstream.Request{
+		Method: c.request.Method, URI: c.request.URL.RequestURI(), Host: c.request.Host,
+		Header: h.Protocol.ForwardHeader(c.request.Header, info), Body: c.body,
+	}
+}
+
+// request sends the call to the attempt's target and reads the response until a part of it
+// can be relayed.
+func (h *Handler) request(c *call, a *attempt) (outcome, error) {
+	target := a.d.target
+	e, err := h.Pool.Do(a.ctx, target.ID, target.Address, h.buildRequest(c, a), c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
+		id := h.Protocol.ParseResponse(0, header).ID
+		return id == "" || id == c.meta.ID
+	})
+	if err != nil {
+		return classifyFailure(c, err), err
+	}
+	a.exchange = e
+	info := h.Protocol.ParseResponse(e.StatusCode, e.Header)
+	h.recordLoad(c, target, info)
+	return h.readResponse(c, a, info)
+}
+
+// classifyFailure returns the outcome of an attempt without a response.
+func classifyFailure(c *call, err error) outcome {
+	var failure *upstream.Error
+	switch {
+	case c.request.Context().Err() != nil:
+		return callerDisconnected
+	case errors.As(err, &failure) && !failure.MaybeSent:
+		return notSent
+	}
+	return outcomeUnknown
+}
+
+// readResponse reads the response until a part of it can be relayed: an event that is new to
+// the caller, or a complete response. Only the begin of a long response is read.
+func (h *Handler) readResponse(c *call, a *attempt, info ResponseInfo) (outcome, error) {
+	if info.NotRun {
+		if _, err := io.Copy(io.Discard, io.LimitReader(a.exchange.Body, maxBufferedResponse)); err == nil {
+			a.exchange.Complete()
+		}
+		if info.WrongTarget {
+			h.Health.MarkReplaced(a.d.target.ID)
+		}
+		return notRun, nil
+	}
+	success := info.Status >= 200 && info.Status < 300
+	if success && !info.Signed {
+		return outcomeUnknown, errors.New("success response without a signature")
+	}
+	if success && strings.HasPrefix(a.exchange.Header.Get("Content-Type"), "text/event-stream") {
+		return h.readFirstEvent(c, a)
+	}
+	return h.readPlainResponse(a)
+}
+
+func (h *Handler) readFirstEvent(c *call, a *attempt) (outcome, error) {
+	a.events = sse.NewRawReader(a.exchange.Body)
+	var err error
+	a.firstEvent, err = a.nextEvent(a.resume.lastEventID, func([]byte) error { return nil })
+	a.streamEnded = errors.Is(err, io.EOF)
+	if err != nil && !a.streamEnded {
+		return h.streamFailure(c, a, err)
+	}
+	return responded, nil
+}
+
+// nextEvent returns the next event after the one with id last. Blank and comment lines are
+// passed to relayComment.
+func (a *attempt) nextEvent(last string, relayComment func([]byte) error) (sse.RawEvent, error) {
+	for {
+		event, err := a.events.Next()
+		if err != nil {
+			return sse.RawEvent{}, err
+		}
+		if !event.HasFields {
+			if err := relayComment(event.Bytes); err != nil {
+				return sse.RawEvent{}, err
+			}
+			continue
+		}
+		a.d.running.FirstEvent()
+		if event.ID == "" || isNewer(event.ID, last) {
+			return event, nil
+		}
+		if a.watch != nil {
+			a.watch.restart()
+		}
+	}
+}
+
+// streamFailure returns the outcome of an attempt whose stream cannot be read further.
+func (h *Handler) streamFailure(c *call, a *attempt, err error) (outcome, error) {
+	if c.request.Context().Err() != nil {
+		return callerDisconnected, err
+	}
+	return outcomeUnknown, errors.Join(err, context.Cause(a.ctx))
+}
+
+// readPlainResponse reads a response that is no event stream. A short one is read completely, so that
+// another target can be tried if it is interrupted.
+func (h *Handler) readPlainResponse(a *attempt) (outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(a.exchange.Body, maxBufferedResponse))
+	if err != nil {
+		return outcomeUnknown, err
+	}
+	complete := len(body) < maxBufferedResponse
+	if complete {
+		a.exchange.Complete()
+	}
+	if a.resume.begun {
+		return outcomeUnknown, errors.New("complete response received instead of the rest of a stream")
+	}
+	if !complete {
+		a.firstBytes = body
+		return responded, nil
+	}
+	header := h.Protocol.ResponseHeader(a.exchange.Header)
+	if len(body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	a.complete = &bufferedResponse{status: a.exchange.StatusCode, header: header, body: body}
+	if a.exchange.StatusCode >= http.StatusInternalServerError {
+		return failed, nil
+	}
+	return responded, nil
+}
+
+// recordAttempt records the outcome of an attempt that has ended.
+func (h *Handler) recordAttempt(c *call, a *attempt, o outcome, err error) {
+	c.lastOutcome, c.lastErr = o, err
+	switch o {
+	case notSent:
+		c.attemptsSent--
+	case outcomeUnknown, superseded:
+		c.mayHaveRun = true
+	}
+	if o == failed && a.complete != nil {
+		c.failure = a.complete
+	}
+	cancelled := a.cause != nil && a.exchange == nil && o != notSent
+	if !cancelled && !errors.Is(a.cause, errWentOn) {
+		h.Health.RecordOutcome(a.d.target.ID, o)
+	}
+}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -66,6 +66,20 @@
 	return true
 }
 
+// GiveBack takes back the count of a retry that was allowed and not sent.
+func (b *RetryBudget) GiveBack(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.currentWindow(service)
+	for age := range int64(windowBuckets) {
+		i := (w.bucket - age + windowBuckets) % windowBuckets
+		if w.retries[i] > 0 {
+			w.retries[i]--
+			return
+		}
+	}
+}
+
 // currentWindow returns the window of a service after clearing its expired buckets.
 func (b *RetryBudget) currentWindow(service string) *retryWindow {
 	w := b.services[service]
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -19,7 +19,14 @@
 	arrived time.Time
 	// deadline follows from the timeout of the caller or of the route, whichever is shorter.
 	deadline time.Time
+	// caller belongs to the call's goroutine.
+	caller *callerWriter
 
+	// The fields below belong to the call's goroutine, or to that of its standby attempt while
+	// there is one.
+
+	// progress is what the caller had of the response when the latest attempt was prepared.
+	progress progress
 	// tried holds the targets that the request was sent to or that were unreachable;
 	// attemptsSent counts those that may have received a byte.
 	tried        map[string]bool
@@ -35,7 +42,6 @@
 	noRetry     retryDenial
 	// failure is the error response of a target, kept in case no other target succeeds.
 	failure *bufferedResponse
-	caller  *callerWriter
 	// predictedFirstEvent is the predicted time to the first event, as of the last attempt to place the call.
 	predictedFirstEvent time.Duration
 	// queued is true once the call has waited for a target.
@@ -44,6 +50,13 @@
 	reservationCount int
 }
 
+// progress is what a caller has of a response.
+type progress struct {
+	// begun is true once the header was sent.
+	begun       bool
+	lastEventID string
+}
+
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
 	status int
@@ -83,6 +96,10 @@
 	return &callerWriter{w: w, control: http.NewResponseController(w)}
 }
 
+func (o *callerWriter) progress() progress {
+	return progress{begun: o.headerSent, lastEventID: o.lastEventID}
+}
+
 func (o *callerWriter) writeHeader(status int, header http.Header) {
 	if o.headerSent {
 		return
@@ -110,6 +127,12 @@
 	}
 }
 
+// relayComment writes comment lines of a stream.
+func (o *callerWriter) relayComment(p []byte) error {
+	o.write(p)
+	return o.writeErr
+}
+
 // writeEvent writes an event of a stream and records its timing.
 func (o *callerWriter) writeEvent(p []byte, id string, arrived time.Time) {
 	now := time.Now()
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -57,7 +57,7 @@
 	defer h.mu.Unlock()
 	t := h.entry(target, now)
 	failure := 0.0
-	if o == outcomeUnknown || o == failed {
+	if o == outcomeUnknown || o == superseded || o == failed {
 		failure = 1
 	}
 	t.failureRate = t.decayedFailureRate(now)*(1-failureWeight) + failure*failureWeight
@@ -66,7 +66,7 @@
 	case delivered:
 		t.consecutiveFailures = 0
 		t.unreachableUntil = time.Time{}
-	case notSent, outcomeUnknown:
+	case notSent, outcomeUnknown, superseded:
 		backoff := unreachableMin << min(t.consecutiveFailures, 4)
 		t.consecutiveFailures++
 		t.unreachableUntil = now.Add(min(backoff, unreachableMax))
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -111,3 +111,23 @@
 	assert.DeepEqual(t, h.excludeUnreachable([]*topology.Target{dead, full}), []*topology.Target{full})
 	assert.DeepEqual(t, h.excludeUnreachable([]*topology.Target{dead}), []*topology.Target{dead})
 }
+
+// Guards against retries that stay counted although they were not sent, and against a budget
+// that grows by what is given back.
+func TestRetriesAreGivenBack(t *testing.T) {
+	b := NewRetryBudget(func() RetryLimits { return RetryLimits{Slack: 3, Window: time.Minute} }, func() int { return 1 })
+	allowed := func() int {
+		n := 0
+		for b.Allow("s") {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, allowed(), 2) // 0.7 x 3
+	b.GiveBack("s")
+	assert.Equal(t, allowed(), 1)
+	for range 5 {
+		b.GiveBack("s")
+	}
+	assert.Equal(t, allowed(), 2)
+}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -131,7 +130,7 @@
 func (h *Handler) mayQueue(c *call, f *refusal) bool {
 	waited := time.Since(c.arrived)
 	switch {
-	case waited > c.maxQueueTime():
+	case h.queueTimeExpired(c):
 		return false
 	case f == refuseDeferred:
 		return true
@@ -141,6 +140,9 @@
 	return false
 }
 
+// queueTimeExpired reports whether a call has waited so long that it may not be queued.
+func (h *Handler) queueTimeExpired(c *call) bool { return time.Since(c.arrived) > c.maxQueueTime() }
+
 // maxQueueTime returns how long after its arrival a call may be queued.
 func (c *call) maxQueueTime() time.Duration {
 	return time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
@@ -148,28 +150,19 @@
 
 // candidates returns the usable targets that the call has not tried.
 func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
-	return h.untriedTargets(view, c.service, c.tried)
-}
-
-func (h *Handler) untriedTargets(view *topology.View, service string, tried map[string]bool) []*topology.Target {
 	now := time.Now()
 	var targets []*topology.Target
-	for _, t := range view.Usable(service) {
-		if !tried[t.ID] && !h.Health.Status(t.ID, now).Replaced {
+	for _, t := range view.Usable(c.service) {
+		if !c.tried[t.ID] && !h.Health.Status(t.ID, now).Replaced {
 			targets = append(targets, t)
 		}
 	}
 	return targets
 }
 
-// alternativeCheck returns a function that reports whether a target other than the current
-// one could take the call. The function may run concurrently with the call.
-func (h *Handler) alternativeCheck(c *call, current *topology.Target) func() bool {
-	service, tried := c.service, maps.Clone(c.tried)
-	tried[current.ID] = true
-	return func() bool {
-		return slices.ContainsFunc(h.untriedTargets(h.Views.Get(), service, tried), h.responsive)
-	}
+// hasAlternative reports whether a target that the call has not tried seems to be reachable.
+func (h *Handler) hasAlternative(c *call) bool {
+	return slices.ContainsFunc(h.candidates(h.Views.Get(), c), h.responsive)
 }
 
 // responsive reports whether a target is not known to be unreachable.
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -77,14 +77,13 @@
 }
 
 // markUnconfirmed records that an engine did not respond to a command. If the engine is
-// unreachable, all attempts at it are aborted, so that the other engines' memory is
-// released.
+// unreachable, standby attempts are started for the requests at it.
 func (r *reservation) markUnconfirmed(ctx context.Context, t *topology.Target) {
 	r.mu.Lock()
 	r.unconfirmed[t.ID] = true
 	r.mu.Unlock()
 	if ctx.Err() == nil && !r.h.reachable(t) {
-		r.h.abortUnreachable(t)
+		r.h.reportUnreachable(t)
 	}
 }
 
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -8,15 +8,9 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/oriolefront/oriolefront/internal/inflight"
-	"github.com/oriolefront/oriolefront/internal/placement"
-	"github.com/oriolefront/oriolefront/internal/sse"
 	"github.com/oriolefront/oriolefront/internal/topology"
-	"github.com/oriolefront/oriolefront/internal/upstream"
-	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // outcome is the result of one attempt at a target.
@@ -30,9 +24,11 @@
 	outcomeUnknown                    // the target may have processed the request
 	callerDisconnected                // the caller disconnected or does not read
 	noCapacity                        // memory for a split prompt could not be reserved
+	responded                         // the response has begun and can be relayed
+	superseded                        // another attempt of the call took over
 )
 
-var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room"}
+var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room", "responded", "superseded"}
 
 // String implements fmt.Stringer.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -44,34 +40,18 @@
 // serve makes attempts until the call has its final response.
 func (h *Handler) serve(ctx context.Context, c *call) {
 	for {
-		d, f := h.place(ctx, c)
-		if d == nil {
+		c.progress = c.caller.progress()
+		a, f := h.prepare(ctx, c)
+		if a == nil {
 			c.noRetry = deniedNoTarget
 			h.finish(ctx, c, f)
 			return
 		}
-		h.logPlacement(c, d)
-		o, err := h.attempt(ctx, c, d)
-		c.lastOutcome, c.lastErr = o, err
-		if o == noCapacity {
-			if time.Since(c.arrived) > c.maxQueueTime() || !wait.For(ctx, reserveRetryDelay) {
-				c.noRetry = deniedNoTarget
-				h.finish(ctx, c, refuseBusy)
-				return
-			}
-			continue
-		}
-		c.tried[d.target.ID] = true
-		h.Log.Info("try ended", "request", c.meta.ID, "target", d.target.ID, "service", c.service, "outcome", o.String(),
-			"after", time.Since(c.arrived).Round(time.Millisecond), "events", c.caller.events,
-			"first", c.caller.timeToFirstEvent.Round(time.Millisecond), "longest_pause", c.caller.longestGap.Round(time.Millisecond), "error", err)
+		o := h.run(ctx, c, a)
 		if o == delivered || o == callerDisconnected {
 			h.Metrics.ObserveRequest(c.route.Kind.String(), o, time.Since(c.arrived))
 			return
 		}
-		if o == outcomeUnknown {
-			c.mayHaveRun = true
-		}
 		if c.noRetry = h.mayRetry(ctx, c, o); c.noRetry != retryAllowed {
 			h.finish(ctx, c, nil)
 			return
@@ -79,6 +59,53 @@
 	}
 }
 
+// run runs an attempt, and then the standby attempts that take over from it. It returns the
+// outcome of the last one.
+func (h *Handler) run(ctx context.Context, c *call, a *attempt) outcome {
+	for {
+		o, next := h.runOne(ctx, c, a)
+		if next == nil {
+			return o
+		}
+		a = next
+	}
+}
+
+// runOne relays the response of an attempt. It returns the standby attempt that took over, if any.
+func (h *Handler) runOne(ctx context.Context, c *call, a *attempt) (outcome, *attempt) {
+	defer a.end()
+	g := newHedge(ctx, h, c, a)
+	defer g.discard()
+	a.watch = h.newWatchdog(a.d.target, g.start, firstEventTimeout(c, a.d))
+	o, err := h.deliver(c, a, g)
+	a.end()
+	next := g.finish(o)
+	if next != nil {
+		o = superseded
+	}
+	h.recordAttempt(c, a, o, err)
+	h.Log.Info("try ended", "request", c.meta.ID, "target", a.d.target.ID, "service", c.service, "outcome", o.String(),
+		"after", time.Since(c.arrived).Round(time.Millisecond), "events", c.caller.events,
+		"first", c.caller.timeToFirstEvent.Round(time.Millisecond), "longest_pause", c.caller.longestGap.Round(time.Millisecond), "error", err)
+	return o, next
+}
+
+// deliver sends the request, unless the attempt already has a response, and relays the response.
+func (h *Handler) deliver(c *call, a *attempt, g *hedge) (outcome, error) {
+	if a.exchange == nil {
+		if o, err := h.request(c, a); o != responded {
+			return o, err
+		}
+	}
+	if c.request.Context().Err() != nil {
+		return callerDisconnected, nil
+	}
+	if a.events != nil {
+		return h.relayEvents(c, a, g)
+	}
+	return h.relayBody(c, a, g)
+}
+
 // retryDenial states why a call gets no further attempt.
 type retryDenial string
 
@@ -168,41 +195,6 @@
 		"suspect_zones", slices.Sorted(maps.Keys(c.suspectZones)))
 }
 
-// attempt sends the call to one target.
-func (h *Handler) attempt(ctx context.Context, c *call, d *destination) (outcome, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var helpers []string
-	running := d.running
-	defer running.Done()
-	if d.plan != nil && len(d.plan.Helpers) > 0 {
-		reserved, names, err := h.prepareHelpers(ctx, c, d.plan)
-		if err != nil {
-			return noCapacity, err
-		}
-		if reserved != nil {
-			defer reserved.release()
-		}
-		helpers = names
-	}
-	watch := h.newWatchdog(d.target, h.alternativeCheck(c, d.target), cancel, firstEventTimeout(c, d))
-	defer watch.stop()
-	e, err := h.Pool.Do(ctx, d.target.ID, d.target.Address, h.buildRequest(c, d.target, helpers), c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
-		id := h.Protocol.ParseResponse(0, header).ID
-		return id == "" || id == c.meta.ID
-	})
-	if err != nil {
-		return h.classifyFailure(ctx, c, d.target, err)
-	}
-	defer e.Close()
-	c.attemptsSent++
-	info := h.Protocol.ParseResponse(e.StatusCode, e.Header)
-	h.recordLoad(c, d.target, info)
-	o, err := h.relay(ctx, c, d.target, e, info, running, watch)
-	h.Health.RecordOutcome(d.target.ID, o)
-	return o, err
-}
-
 func targetIDs(targets []*topology.Target) []string {
 	var ids []string
 	for _, t := range targets {
@@ -211,105 +203,29 @@
 	return ids
 }
 
-// prepareHelpers reserves the memory that the plan needs and returns the helpers as they
-// are named to the target.
-func (h *Handler) prepareHelpers(ctx context.Context, c *call, plan *placement.Plan) (*reservation, []string, error) {
-	var names []string
-	if plan.ReserveTokens == 0 {
-		for _, t := range plan.Helpers {
-			names = append(names, h.Protocol.FormatHelper(t.Address, ""))
-		}
-		return nil, names, nil
-	}
-	r, err := h.reserve(ctx, c, plan)
-	if err != nil {
-		h.Log.Info("memory not reserved", "request", c.meta.ID, "error", err)
-		return nil, nil, err
-	}
-	for _, t := range r.targets {
-		names = append(names, h.Protocol.FormatHelper(t.Address, r.id))
-	}
-	return r, names, nil
-}
-
-// buildRequest builds the request for a target.
-func (h *Handler) buildRequest(c *call, target *topology.Target, helpers []string) upstream.Request {
-	left := max(c.remaining(), time.Millisecond)
-	info := ForwardInfo{Timeout: left, Target: target.ID, Account: c.accountName(), Urgency: -1, LastEventID: c.caller.lastEventID, Helpers: helpers}
-	return upstream.Request{
-		Method: c.request.Method, URI: c.request.URL.RequestURI(), Host: c.request.Host,
-		Header: h.Protocol.ForwardHeader(c.request.Header, info), Body: c.body,
-	}
-}
-
-// classifyFailure returns the outcome of an attempt without a response.
-func (h *Handler) classifyFailure(ctx context.Context, c *call, target *topology.Target, err error) (outcome, error) {
-	if c.request.Context().Err() != nil {
-		return callerDisconnected, err
+// relayBody relays a response that is no event stream. Once a part of a long one is relayed,
+// no other target can take the request, and inactivity may be caused by a caller that reads
+// slowly.
+func (h *Handler) relayBody(c *call, a *attempt, g *hedge) (outcome, error) {
+	if !g.complete() {
+		return superseded, nil
 	}
-	var failure *upstream.Error
-	if errors.As(err, &failure) && !failure.MaybeSent {
-		h.Health.RecordOutcome(target.ID, notSent)
-		return notSent, err
+	a.watch.reset(0)
+	if a.complete != nil {
+		c.caller.writeResponse(a.complete)
+		return delivered, nil
 	}
-	c.attemptsSent++
-	if ctx.Err() == nil {
-		h.Health.RecordOutcome(target.ID, outcomeUnknown)
-	}
-	return outcomeUnknown, err
-}
-
-// relay sends the response of a target to the caller.
-func (h *Handler) relay(ctx context.Context, c *call, target *topology.Target, e *upstream.Exchange, info ResponseInfo, running *inflight.Running, watch *watchdog) (outcome, error) {
-	if info.NotRun {
-		if _, err := io.Copy(io.Discard, io.LimitReader(e.Body, maxBufferedResponse)); err == nil {
-			e.Complete()
-		}
-		if info.WrongTarget {
-			h.Health.MarkReplaced(target.ID)
-		}
-		return notRun, nil
-	}
-	if c.request.Context().Err() != nil {
-		return callerDisconnected, nil
-	}
-	success := info.Status >= 200 && info.Status < 300
-	if success && !info.Signed {
-		return outcomeUnknown, errors.New("success response without a signature")
-	}
-	if success && strings.HasPrefix(e.Header.Get("Content-Type"), "text/event-stream") {
-		return h.relayEvents(ctx, c, e, running, watch)
-	}
-	return h.relayBody(c, e, success, watch)
-}
-
-// relayBody relays a response that is no event stream. A short one is buffered completely
-// first. Once a part of a long one is relayed, no other target can take the request, and
-// inactivity may be caused by a caller that reads slowly.
-func (h *Handler) relayBody(c *call, e *upstream.Exchange, success bool, watch *watchdog) (outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(e.Body, maxBufferedResponse))
-	if err != nil {
-		return outcomeUnknown, err
-	}
-	if len(body) < maxBufferedResponse {
-		e.Complete()
-		return h.sendBuffered(c, e, body, success)
-	}
-	if c.caller.headerSent {
-		return outcomeUnknown, errors.New("complete response received instead of the rest of a stream")
-	}
-	watch.reset(0)
-	c.caller.writeHeader(e.StatusCode, h.Protocol.ResponseHeader(e.Header))
-	c.caller.write(body)
+	c.caller.writeHeader(a.exchange.StatusCode, h.Protocol.ResponseHeader(a.exchange.Header))
+	c.caller.write(a.firstBytes)
 	buffer := make([]byte, maxBufferedResponse)
 	for {
-		n, err := e.Body.Read(buffer)
+		n, err := a.exchange.Body.Read(buffer)
 		c.caller.write(buffer[:n])
 		if c.caller.writeErr != nil {
 			return callerDisconnected, c.caller.writeErr
 		}
 		if errors.Is(err, io.EOF) {
-			e.Complete()
+			a.exchange.Complete()
 			return delivered, nil
 		}
 		if err != nil {
@@ -318,65 +234,43 @@
 	}
 }
 
-func (h *Handler) sendBuffered(c *call, e *upstream.Exchange, body []byte, success bool) (outcome, error) {
-	if c.caller.headerSent {
-		return outcomeUnknown, errors.New("complete response received instead of the rest of a stream")
-	}
-	header := h.Protocol.ResponseHeader(e.Header)
-	if len(body) > 0 {
-		header.Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	response := &bufferedResponse{status: e.StatusCode, header: header, body: body}
-	if !success && e.StatusCode >= 500 {
-		c.failure = response
-		return failed, nil
-	}
-	c.caller.writeResponse(response)
-	return delivered, nil
-}
-
 // relayEvents relays the complete events of a stream. The header is sent with the first
 // event, so that another target can respond instead until then.
-func (h *Handler) relayEvents(ctx context.Context, c *call, e *upstream.Exchange, running *inflight.Running, watch *watchdog) (outcome, error) {
-	events := sse.NewRawReader(e.Body)
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			e.Complete()
-			if !c.caller.headerSent {
-				c.caller.writeHeader(e.StatusCode, h.Protocol.ResponseHeader(e.Header))
-			}
-			return delivered, nil
-		}
-		if err != nil {
-			if c.request.Context().Err() != nil {
-				return callerDisconnected, err
-			}
-			return outcomeUnknown, errors.Join(err, context.Cause(ctx))
-		}
-		if !event.HasFields {
-			if c.caller.headerSent {
-				c.caller.write(event.Bytes)
-			}
-			if c.caller.writeErr != nil {
-				return callerDisconnected, c.caller.writeErr
-			}
-			continue
-		}
-		running.FirstEvent()
-		watch.reset(eventGapTimeout(c))
-		if event.ID != "" && !isNewer(event.ID, c.caller.lastEventID) {
-			continue
+func (h *Handler) relayEvents(c *call, a *attempt, g *hedge) (outcome, error) {
+	event, err := a.firstEvent, error(nil)
+	if a.streamEnded {
+		err = io.EOF
+	}
+	for err == nil {
+		repeatable, ok := g.advance(event.ID)
+		if !ok {
+			return superseded, nil
 		}
+		a.watch.reset(eventGapTimeout(c.route, repeatable))
 		if !c.caller.headerSent {
 			h.Metrics.ObserveFirstEvent(time.Since(c.arrived))
-			c.caller.writeHeader(e.StatusCode, h.Protocol.ResponseHeader(e.Header))
+			c.caller.writeHeader(a.exchange.StatusCode, h.Protocol.ResponseHeader(a.exchange.Header))
 		}
 		c.caller.writeEvent(event.Bytes, event.ID, c.arrived)
 		if c.caller.writeErr != nil {
 			return callerDisconnected, c.caller.writeErr
 		}
+		event, err = a.nextEvent(c.caller.lastEventID, c.caller.relayComment)
+	}
+	if c.caller.writeErr != nil {
+		return callerDisconnected, c.caller.writeErr
 	}
+	if !errors.Is(err, io.EOF) {
+		return h.streamFailure(c, a, err)
+	}
+	if !g.complete() {
+		return superseded, nil
+	}
+	a.exchange.Complete()
+	if !c.caller.headerSent {
+		c.caller.writeHeader(a.exchange.StatusCode, h.Protocol.ResponseHeader(a.exchange.Header))
+	}
+	return delivered, nil
 }
 
 // isNewer reports whether an event comes after the last one that was relayed.
--- /dev/null
+++ b/internal/forward/standby_test.go
@@ -0,0 +1,436 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/topology"
+	"github.com/oriolefront/oriolefront/internal/upstream"
+)
+
+// testProtocol is a Protocol with headers of its own.
+type testProtocol struct{}
+
+func (testProtocol) ParseRequest(h http.Header) (RequestInfo, error) {
+	ms, err := strconv.Atoi(h.Get("Timeout-Ms"))
+	return RequestInfo{ID: h.Get("Id"), Timeout: time.Duration(ms) * time.Millisecond}, err
+}
+
+func (testProtocol) ForwardHeader(from http.Header, info ForwardInfo) http.Header {
+	return http.Header{"Id": from["Id"], "Last": {info.LastEventID}}
+}
+
+func (testProtocol) ParseResponse(status int, h http.Header) ResponseInfo {
+	return ResponseInfo{Status: status, ID: h.Get("Id"), Signed: true, NotRun: h.Get("Not-Run") != ""}
+}
+
+func (testProtocol) ResponseHeader(from http.Header) http.Header {
+	return http.Header{"Id": from["Id"]}
+}
+func (testProtocol) SetRequestID(http.Header, string)      {}
+func (testProtocol) FormatHelper(address, _ string) string { return address }
+func (testProtocol) ReserveCommand(string, string, int, time.Duration) Command {
+	return Command{}
+}
+func (testProtocol) ReleaseCommand(string, string) Command { return Command{} }
+
+// connection is a target's side of one request.
+type connection struct {
+	net.Conn
+	last int
+	id   string
+}
+
+// events writes a range of events; the first call also writes the header.
+func (c *connection) events(from, to int) {
+	if from == c.last+1 {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", c.id)
+	}
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(testEvent(id)), testEvent(id))
+	}
+}
+
+func (c *connection) finish() { io.WriteString(c, "0\r\n\r\n") }
+
+func (c *connection) respond(status int, header, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, c.id, header, len(body), body)
+}
+
+// waitForClose waits until the VM closes the connection.
+func (c *connection) waitForClose() { c.Read(make([]byte, 1)) }
+
+func testEvent(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+
+func testEvents(from, to int) string {
+	text := ""
+	for id := from; id <= to; id++ {
+		text += testEvent(id)
+	}
+	return text
+}
+
+// testTarget is a target that runs a script for each request.
+type testTarget struct {
+	listener net.Listener
+	arrivals atomic.Int32
+	script   func(c *connection)
+}
+
+func (t *testTarget) serve(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	t.arrivals.Add(1)
+	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	t.script(&connection{Conn: c, last: last, id: r.Header.Get("Id")})
+}
+
+func newTestTarget(t *testing.T, script func(c *connection)) *testTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	target := &testTarget{listener: l, script: script}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go target.serve(c)
+		}
+	}()
+	return target
+}
+
+// testVM is a handler behind a server, with one route of each kind.
+type testVM struct {
+	*Handler
+	t       *testing.T
+	server  *httptest.Server
+	view    *topology.View
+	targets []*topology.Target
+}
+
+// newTestVM returns a VM that knows the first target only; reveal adds the others.
+func newTestVM(t *testing.T, maxTargets int, targets ...*testTarget) *testVM {
+	v := &testVM{t: t}
+	for i, target := range targets {
+		v.targets = append(v.targets, &topology.Target{ID: fmt.Sprint("t", i+1), Service: "s", Address: target.listener.Addr().String(), Slots: 1000})
+	}
+	config := &topology.Config{Services: []topology.Service{{Name: "s"}}}
+	for _, r := range []topology.Route{{Name: "safe", Kind: topology.Idempotent}, {Name: "once", Kind: topology.AtMostOnce}, {Name: "stream", Kind: topology.Stream, Resumable: true}, {Name: "volatile", Kind: topology.Stream}} {
+		r.Host, r.PathPrefix, r.MaxTargets, r.Shares = "127.0.0.1", "/"+r.Name+"/", maxTargets, []topology.Share{{Service: "s", Weight: 1}}
+		r.Objective, r.MaxEventGap = 100*time.Millisecond, 100*time.Millisecond
+		config.Routes = append(config.Routes, r)
+	}
+	v.view = topology.NewView(config, v.targets[:1], nil)
+	views := topology.NewHolder()
+	views.Set(v.view)
+	v.Handler = &Handler{
+		Views: views, Protocol: testProtocol{}, Pool: upstream.NewPool(nil), Registry: inflight.New(), Health: NewHealth(),
+		RetryBudget: NewRetryBudget(func() RetryLimits { return RetryLimits{Slack: 1000, Window: time.Minute} }, func() int { return 1 }),
+		Log:         slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: NewMetrics(metrics.NewSet()),
+		VMCount: func() int { return 1 }, Isolated: func() bool { return false }, KeysUnconfirmed: func() bool { return false },
+	}
+	v.Init()
+	v.server = httptest.NewServer(v.Handler)
+	t.Cleanup(v.server.Close)
+	return v
+}
+
+// reveal makes all targets known.
+func (v *testVM) reveal() { v.Views.Set(v.view.With(v.targets, nil)) }
+
+// send sends a request and returns the status and the body. An interrupted response is an error.
+func (v *testVM) send(ctx context.Context, path, id string) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, v.server.URL+path, nil)
+	assert.NilError(v.t, err)
+	r.Header.Set("Id", id)
+	r.Header.Set("Timeout-Ms", "3000")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// assertReleased checks that nothing is held for calls that have ended, and how many retries
+// were counted.
+func (v *testVM) assertReleased(retries int) {
+	v.t.Helper()
+	for end := time.Now().Add(2 * time.Second); v.Active() > 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(v.t, v.Active(), int64(0))
+	for _, t := range v.targets {
+		assert.Equal(v.t, v.Registry.Count(t.ID), 0, t.ID)
+		assert.Equal(v.t, len(v.watchdogs.forTarget(t.ID)), 0, t.ID)
+	}
+	assert.Equal(v.t, len(v.queue.waiters), 0)
+	assert.Equal(v.t, v.countedRetries(), retries)
+}
+
+func (v *testVM) countedRetries() int {
+	v.RetryBudget.mu.Lock()
+	defer v.RetryBudget.mu.Unlock()
+	sum := 0
+	for _, n := range v.RetryBudget.currentWindow("s").retries {
+		sum += n
+	}
+	return sum
+}
+
+func assertSoon(t *testing.T, closed chan struct{}, what string) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Errorf("not within a second: %s", what)
+	}
+}
+
+// Guards against a silent target that goes on working after a standby attempt took over, a
+// standby attempt that begins at the wrong event, and one that counts as two retries.
+func TestStandbyTakesOver(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	cancelled := make(chan struct{})
+	first := newTestTarget(t, func(c *connection) {
+		c.events(1, 3)
+		v.reveal()
+		c.waitForClose()
+		close(cancelled)
+	})
+	second := newTestTarget(t, func(c *connection) {
+		assert.Check(t, c.last == 3, "last event %d", c.last)
+		c.events(4, 5)
+		assertSoon(t, cancelled, "first attempt cancelled")
+		c.events(6, 6)
+		c.finish()
+	})
+	v = newTestVM(t, 2, first, second)
+	_, body, err := v.send(t.Context(), "/stream/x", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testEvents(1, 6))
+	v.assertReleased(1)
+}
+
+// Guards against a standby attempt whose target goes on working, or whose slot stays taken,
+// after the first target went on.
+func TestStandbyIsCancelledWhenFirstGoesOn(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	cancelled := make(chan struct{})
+	first := newTestTarget(t, func(c *connection) {
+		c.events(1, 3)
+		v.reveal()
+		time.Sleep(minEventGap + 300*time.Millisecond)
+		c.events(4, 4)
+		assertSoon(t, cancelled, "standby attempt cancelled")
+		assert.Check(t, v.Registry.Count("t2") == 0)
+		c.events(5, 6)
+		c.finish()
+	})
+	second := newTestTarget(t, func(c *connection) {
+		c.waitForClose()
+		time.Sleep(20 * time.Millisecond) // the entry in the registry is removed after the close
+		close(cancelled)
+	})
+	v = newTestVM(t, 2, first, second)
+	_, body, err := v.send(t.Context(), "/stream/x", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testEvents(1, 6))
+	assert.Equal(t, second.arrivals.Load(), int32(1))
+	v.assertReleased(1)
+}
+
+// Guards against targets that work on for a caller that has disconnected while a standby
+// attempt was under way.
+func TestBothAttemptsEndWithTheirCaller(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	var cancelled sync.WaitGroup
+	cancelled.Add(2)
+	silent := func(c *connection) {
+		v.reveal()
+		c.waitForClose()
+		cancelled.Done()
+	}
+	first, second := newTestTarget(t, silent), newTestTarget(t, silent)
+	v = newTestVM(t, 2, first, second)
+	ctx, disconnect := context.WithCancel(t.Context())
+	go v.send(ctx, "/safe/x", "a")
+	for second.arrivals.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	disconnect()
+	both := make(chan struct{})
+	go func() { cancelled.Wait(); close(both) }()
+	assertSoon(t, both, "both attempts cancelled")
+	v.assertReleased(1)
+}
+
+// Guards against more targets than the route allows, against a second target for a request
+// that must not run twice, and against attempts that outlive the deadline.
+func TestStandbysAreBounded(t *testing.T) {
+	t.Parallel()
+	for path, c := range map[string]struct {
+		begun    bool
+		arrivals int32
+	}{
+		"/safe/x":     {arrivals: 2},
+		"/once/x":     {arrivals: 1},
+		"/volatile/x": {arrivals: 1},
+		"/volatile/y": {begun: true, arrivals: 1},
+		"/stream/x":   {arrivals: 2},
+		"/stream/y":   {begun: true, arrivals: 2},
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			var v *testVM
+			script := func(conn *connection) {
+				if c.begun && conn.last == 0 {
+					conn.events(1, 1)
+				}
+				v.reveal()
+				conn.waitForClose()
+			}
+			targets := []*testTarget{newTestTarget(t, script), newTestTarget(t, script), newTestTarget(t, script)}
+			v = newTestVM(t, 2, targets...)
+			status, _, err := v.send(t.Context(), path, "a")
+			assert.Equal(t, err != nil, c.begun)
+			assert.Assert(t, c.begun || status == http.StatusGatewayTimeout, "status %d", status)
+			arrivals := int32(0)
+			for _, target := range targets {
+				arrivals += target.arrivals.Load()
+			}
+			assert.Equal(t, arrivals, c.arrivals)
+			v.assertReleased(int(c.arrivals) - 1)
+		})
+	}
+}
+
+// Guards against a retry that is counted for a standby attempt that was never sent.
+func TestStandbyThatIsNotSentCostsNoRetry(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	first := newTestTarget(t, func(c *connection) {
+		c.events(1, 3)
+		v.reveal()
+		time.Sleep(minEventGap + 300*time.Millisecond)
+		c.events(4, 6)
+		c.finish()
+	})
+	second := newTestTarget(t, nil)
+	second.listener.Close()
+	v = newTestVM(t, 2, first, second)
+	_, body, err := v.send(t.Context(), "/stream/x", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testEvents(1, 6))
+	v.assertReleased(0)
+}
+
+// Guards against a third attempt while the standby attempt of a broken first one is under way,
+// against a promise that a request has not run although one target may have run it, and
+// against the loss of a failure response of a standby attempt.
+func TestFirstAttemptBreaksBesideStandby(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		second     func(c *connection)
+		maxTargets int
+		status     int
+		body       string
+	}{
+		"standby responds":   {func(c *connection) { c.respond(200, "", "ok") }, 3, 200, "ok"},
+		"standby fails":      {func(c *connection) { c.respond(500, "", "failed") }, 2, 500, "failed"},
+		"standby not run":    {func(c *connection) { c.respond(503, "Not-Run: 1\r\n", "") }, 2, 502, failInterrupted.reason + "\n"},
+		"standby breaks":     {func(*connection) {}, 2, 502, failInterrupted.reason + "\n"},
+		"another may follow": {func(*connection) {}, 3, 200, "third"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var v *testVM
+			broken := make(chan struct{})
+			first := newTestTarget(t, func(conn *connection) {
+				v.Views.Set(v.view.With(v.targets[:2], nil))
+				time.Sleep(500 * time.Millisecond)
+				close(broken)
+			})
+			second := newTestTarget(t, func(conn *connection) {
+				<-broken
+				v.reveal()
+				time.Sleep(300 * time.Millisecond)
+				c.second(conn)
+			})
+			third := newTestTarget(t, func(conn *connection) { conn.respond(200, "", "third") })
+			v = newTestVM(t, c.maxTargets, first, second, third)
+			status, body, err := v.send(t.Context(), "/safe/x", "a")
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.status)
+			assert.Equal(t, body, c.body)
+			assert.Equal(t, third.arrivals.Load() == 1, body == "third")
+			v.assertReleased(int(1 + third.arrivals.Load()))
+		})
+	}
+}
+
+// Guards against events that are lost, doubled or out of order when the first target goes on
+// at the moment at which a standby attempt takes over.
+func TestTakeOverAtTheMomentOfAnEvent(t *testing.T) {
+	t.Parallel()
+	const calls = 100
+	var v *testVM
+	var all sync.WaitGroup
+	all.Add(calls)
+	first := newTestTarget(t, func(c *connection) {
+		all.Done()
+		all.Wait()
+		v.reveal()
+		c.events(1, 3)
+		time.Sleep(minEventGap + rand.N(60*time.Millisecond))
+		c.events(4, 6)
+		c.finish()
+	})
+	second := newTestTarget(t, func(c *connection) {
+		time.Sleep(rand.N(40 * time.Millisecond))
+		c.events(c.last+1, 6)
+		c.finish()
+	})
+	v = newTestVM(t, 2, first, second)
+	var wait sync.WaitGroup
+	for i := range calls {
+		wait.Go(func() {
+			_, body, err := v.send(t.Context(), "/stream/x", fmt.Sprint("call-", i))
+			assert.Check(t, err)
+			assert.Check(t, body == testEvents(1, 6), body)
+		})
+	}
+	wait.Wait()
+	// A request that is cancelled while it is written counts as sent and may not arrive.
+	retries := v.countedRetries()
+	assert.Assert(t, retries >= int(second.arrivals.Load()) && retries <= calls, "%d retries", retries)
+	v.assertReleased(retries)
+	t.Logf("%d of %d calls had a standby attempt", second.arrivals.Load(), calls)
+}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -14,12 +13,11 @@
 	// firstEventGrace is added to twice the predicted time to the first event.
 	firstEventGrace = 1500 * time.Millisecond
 	// minEventGap and eventGapFactor, times the route's maximum event gap, bound the gap
-	// between events after which a stream continues at another target, before its caller
-	// gives up.
+	// between events after which a standby attempt starts, before the caller gives up.
 	minEventGap    = 1200 * time.Millisecond
 	eventGapFactor = 3
 	// idempotentFactor times the route's objective is the time after which an idempotent
-	// request is sent to another target.
+	// request is sent to another target, too.
 	idempotentFactor = 2
 	// probeAfter is the inactivity after which a connection probe tests whether the target
 	// is reachable at all, and probeInterval the time between later probes.
@@ -33,29 +31,31 @@
 
 var (
 	errStalled     = errors.New("target sent nothing for too long")
-	errUnreachable = errors.New("target is unreachable")
+	errUnreachable = errors.New("target accepts no connection")
 )
 
-// watchdog aborts an attempt when its target is found unreachable, or is inactive for too
-// long while another target could take the request.
+// watchdog reports that the target of an attempt is silent: that it sent nothing for too
+// long, or accepts no connection. A sound target may be silent for a while, so the attempt
+// goes on.
 type watchdog struct {
 	h      *Handler
 	target *topology.Target
-	// hasAlternative reports whether another target could take the request.
-	hasAlternative func() bool
-	cancel         context.CancelCauseFunc
+	// onSilent is called with the cause and the time since the last sign of the target, again
+	// and again while the target is silent.
+	onSilent func(cause error, silence time.Duration)
 
 	mu        sync.Mutex
 	timer     *time.Timer
-	timeout   time.Duration // 0 if the attempt must not be aborted
+	timeout   time.Duration // 0 if no other target could take the request
 	remaining time.Duration // of the timeout, when the timer fires next
+	resetAt   time.Time
 	graceUsed bool
 	stopped   bool
 }
 
 // newWatchdog returns a watchdog with an inactivity timeout; 0 means none.
-func (h *Handler) newWatchdog(target *topology.Target, hasAlternative func() bool, cancel context.CancelCauseFunc, timeout time.Duration) *watchdog {
-	w := &watchdog{h: h, target: target, hasAlternative: hasAlternative, cancel: cancel}
+func (h *Handler) newWatchdog(target *topology.Target, onSilent func(error, time.Duration), timeout time.Duration) *watchdog {
+	w := &watchdog{h: h, target: target, onSilent: onSilent}
 	w.timer = time.AfterFunc(time.Hour, w.onTimer)
 	h.watchdogs.add(w)
 	w.reset(timeout)
@@ -69,7 +69,7 @@
 	if w.stopped {
 		return
 	}
-	w.timeout, w.graceUsed = timeout, false
+	w.timeout, w.graceUsed, w.resetAt = timeout, false, time.Now()
 	if timeout <= 0 {
 		w.timer.Stop()
 		return
@@ -87,19 +87,30 @@
 	w.h.watchdogs.remove(w)
 }
 
-// abort cancels the attempt unless it must not be aborted.
-func (w *watchdog) abort(cause error) {
+// restart restarts the watchdog with the same timeout.
+func (w *watchdog) restart() {
 	w.mu.Lock()
+	timeout := w.timeout
+	w.mu.Unlock()
+	w.reset(timeout)
+}
+
+// report calls onSilent unless no other target could take the request, or the target has
+// gone on since the timer fired.
+func (w *watchdog) report(cause error) {
+	w.mu.Lock()
+	silence := time.Since(w.resetAt)
 	active := w.timeout > 0 && !w.stopped
+	wentOn := errors.Is(cause, errStalled) && silence < w.timeout
 	w.mu.Unlock()
-	if active {
-		w.cancel(cause)
+	if active && !wentOn {
+		w.onSilent(cause, silence)
 	}
 }
 
-// onTimer runs while the target is inactive. It probes whether the target is reachable. At
-// the timeout it aborts the attempt, unless the target's known prefill backlog explains the
-// inactivity, which is accepted once, or no other target could take the request.
+// onTimer runs while the target is inactive. It probes whether the target is reachable. After
+// the timeout it reports the silence, unless the target's known prefill backlog explains it,
+// which is accepted once.
 func (w *watchdog) onTimer() {
 	w.mu.Lock()
 	if w.timeout <= 0 || w.stopped {
@@ -116,7 +127,7 @@
 	if remaining > 0 {
 		w.rearm(next)
 		if !w.h.reachable(w.target) {
-			w.h.abortUnreachable(w.target)
+			w.h.reportUnreachable(w.target)
 		}
 		return
 	}
@@ -124,11 +135,8 @@
 		w.rearm(min(backlog, maxPrefillGrace))
 		return
 	}
-	if !w.hasAlternative() {
-		w.rearm(probeInterval)
-		return
-	}
-	w.abort(errStalled)
+	w.rearm(probeInterval)
+	w.report(errStalled)
 }
 
 func (w *watchdog) rearm(d time.Duration) {
@@ -196,20 +204,21 @@
 	return ok
 }
 
-// abortUnreachable aborts all attempts at a target that is unreachable.
-func (h *Handler) abortUnreachable(t *topology.Target) {
+// reportUnreachable records that a target accepts no connection, and reports it to all
+// attempts at the target.
+func (h *Handler) reportUnreachable(t *topology.Target) {
 	watchdogs := h.watchdogs.forTarget(t.ID)
 	h.Log.Warn("target unreachable", "target", t.ID, "zone", t.Zone, "tries", len(watchdogs))
 	h.Health.MarkUnreachable(t.ID)
 	for _, w := range watchdogs {
-		w.abort(errUnreachable)
+		w.report(errUnreachable)
 	}
 }
 
-// firstEventTimeout returns how long a target may take to begin its response; 0 if no
-// other target may get the request afterwards.
+// firstEventTimeout returns how long a target may take to begin its response before it counts
+// as silent; 0 if no other target may get the request.
 func firstEventTimeout(c *call, d *destination) time.Duration {
-	if !c.route.Retryable() || c.attemptsSent+1 >= c.route.MaxTargets {
+	if !c.route.Retryable() || c.attemptsSent >= c.route.MaxTargets {
 		return 0
 	}
 	if c.route.Kind == topology.Idempotent {
@@ -218,11 +227,11 @@
 	return 2*d.firstEvent + firstEventGrace
 }
 
-// eventGapTimeout returns how long a stream may pause before it continues at another
-// target.
-func eventGapTimeout(c *call) time.Duration {
-	if !c.route.Retryable() || c.attemptsSent >= c.route.MaxTargets {
+// eventGapTimeout returns how long a stream may pause before its target counts as silent; 0 if
+// no other target may get the request.
+func eventGapTimeout(route *topology.Route, repeatable bool) time.Duration {
+	if !route.Retryable() || !repeatable {
 		return 0
 	}
-	return max(minEventGap, eventGapFactor*c.route.MaxEventGap)
+	return max(minEventGap, eventGapFactor*route.MaxEventGap)
 }
