forward: queue a begun stream as long as its caller waits

Callers saw a stream cut at once when its target broke off while all engines were busy, with seconds of its time left (log: response interrupted, placement="all targets are busy; try again").

Cause: Handler.mayQueue and the wait for memory measured how long a call has waited from its arrival, also for a stream that has begun. A stream that had run for 0.8 of its objective was not queued at all.

Change: a stream that has begun stays queued while its caller waits for the next event: two seconds, four times the objective or eight times the allowed pause, whichever is longest, bounded by its deadline. Other calls are queued as before.

Evidence: TestBegunStreamIsQueuedWhileItsCallerWaits and TestBegunStreamIsNotQueuedForever fail without the change (cut after 0 and 81 ms) and pass with it.

Tried and left out: counting the caller's patience as the time left when an engine is chosen, so that a broken stream is not held back for the sake of others.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -86,7 +86,7 @@
 		}
 		a.end()
 		c.lastOutcome, c.lastErr = noCapacity, err
-		if h.queueTimeExpired(c) || !wait.For(ctx, reserveRetryDelay) {
+		if c.queueTimeLeft() <= 0 || !wait.For(ctx, reserveRetryDelay) {
 			return nil, refuseBusy
 		}
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -55,6 +55,7 @@
 	// begun is true once the header was sent.
 	begun       bool
 	lastEventID string
+	lastEventAt time.Time // zero before the first event
 }
 
 // bufferedResponse is a response that was read completely.
@@ -97,7 +98,7 @@
 }
 
 func (o *callerWriter) progress() progress {
-	return progress{begun: o.headerSent, lastEventID: o.lastEventID}
+	return progress{begun: o.headerSent, lastEventID: o.lastEventID, lastEventAt: o.lastEventAt}
 }
 
 func (o *callerWriter) writeHeader(status int, header http.Header) {
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -112,6 +112,17 @@
 	assert.DeepEqual(t, h.excludeUnreachable([]*topology.Target{dead}), []*topology.Target{dead})
 }
 
+// Guards against a stream that is held after its caller has abandoned it, or given up before.
+func TestStreamPatience(t *testing.T) {
+	for want, route := range map[time.Duration]topology.Route{
+		2 * time.Second:  {Objective: 300 * time.Millisecond, MaxEventGap: 250 * time.Millisecond},
+		10 * time.Second: {Objective: 2500 * time.Millisecond, MaxEventGap: time.Second},
+		8 * time.Second:  {Objective: 300 * time.Millisecond, MaxEventGap: time.Second},
+	} {
+		assert.Equal(t, streamPatience(&route), want)
+	}
+}
+
 // Guards against retries that stay counted although they were not sent, and against a budget
 // that grows by what is given back.
 func TestRetriesAreGivenBack(t *testing.T) {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -22,6 +22,11 @@
 	// maxQueueShare is the fraction of a request's timeout for which it is queued at most:
 	// a caller that is refused after that still has time to retry.
 	maxQueueShare = 0.7
+	// Callers abandon a stream after a gap of minStreamPatience, or of these multiples of the
+	// objective and of the route's maximum event gap, whichever is longest.
+	minStreamPatience  = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
 )
 
 // destination is the target of an attempt.
@@ -128,24 +133,28 @@
 
 // mayQueue reports whether a call that was not placed for reason f may stay queued.
 func (h *Handler) mayQueue(c *call, f *refusal) bool {
-	waited := time.Since(c.arrived)
 	switch {
-	case h.queueTimeExpired(c):
+	case f != refuseBusy && f != refuseDeferred || c.queueTimeLeft() <= 0:
 		return false
-	case f == refuseDeferred:
+	case f == refuseDeferred || c.progress.begun:
 		return true
-	case f == refuseBusy:
-		return waited < time.Duration(queueObjectiveShare*float64(c.route.Objective))
 	}
-	return false
+	return time.Since(c.arrived) < time.Duration(queueObjectiveShare*float64(c.route.Objective))
 }
 
-// queueTimeExpired reports whether a call has waited so long that it may not be queued.
-func (h *Handler) queueTimeExpired(c *call) bool { return time.Since(c.arrived) > c.maxQueueTime() }
+// queueTimeLeft returns how much longer a call may be queued. A stream that has begun cannot
+// be refused any more: it is queued as long as its caller waits for the next event.
+func (c *call) queueTimeLeft() time.Duration {
+	if c.progress.begun {
+		return streamPatience(c.route) - time.Since(c.progress.lastEventAt)
+	}
+	maxQueueTime := time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
+	return maxQueueTime - time.Since(c.arrived)
+}
 
-// maxQueueTime returns how long after its arrival a call may be queued.
-func (c *call) maxQueueTime() time.Duration {
-	return time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
+// streamPatience returns the gap between events after which callers abandon a stream.
+func streamPatience(route *topology.Route) time.Duration {
+	return max(minStreamPatience, patienceObjectives*route.Objective, patienceGaps*route.MaxEventGap)
 }
 
 // candidates returns the usable targets that the call has not tried.
@@ -239,7 +248,7 @@
 	}
 	plan, ok := placement.Choose(model, engines, request)
 	c.predictedFirstEvent = plan.TimeToFirstEvent
-	if !ok || plan.TimeToFirstEvent > request.TimeLeft {
+	if !ok || plan.TimeToFirstEvent > c.remaining() {
 		return nil, refuseBusy
 	}
 	if plan.Decide(request) == placement.Defer {
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -198,7 +198,7 @@
 	if !g.dismiss() {
 		return false, false
 	}
-	g.progress.begun = true
+	g.progress.begun, g.progress.lastEventAt = true, time.Now()
 	if eventID != "" {
 		g.progress.lastEventID = eventID
 	}
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -129,11 +129,12 @@
 	server  *httptest.Server
 	view    *topology.View
 	targets []*topology.Target
+	timeout time.Duration // of requests
 }
 
 // newTestVM returns a VM that knows the first target only; reveal adds the others.
 func newTestVM(t *testing.T, maxTargets int, targets ...*testTarget) *testVM {
-	v := &testVM{t: t}
+	v := &testVM{t: t, timeout: 3 * time.Second}
 	for i, target := range targets {
 		v.targets = append(v.targets, &topology.Target{ID: fmt.Sprint("t", i+1), Service: "s", Address: target.listener.Addr().String(), Slots: 1000})
 	}
@@ -161,12 +162,35 @@
 // reveal makes all targets known.
 func (v *testVM) reveal() { v.Views.Set(v.view.With(v.targets, nil)) }
 
+// fillSecond makes the second target known, which is cold and gets all the requests that it can
+// take for a while.
+func (v *testVM) fillSecond(full time.Duration) {
+	const coldRate = 2
+	config := *v.view.Config
+	config.Services = []topology.Service{{Name: "s", ColdRate: coldRate}}
+	cold := *v.targets[1]
+	cold.ColdUntil = time.Now().Add(time.Minute)
+	fill := func() {
+		for range coldRate {
+			v.Registry.Start(inflight.Request{Target: cold.ID}).Done()
+		}
+	}
+	fill()
+	v.Views.Set(topology.NewView(&config, []*topology.Target{v.targets[0], &cold}, nil))
+	go func() {
+		for ; full > time.Second; full -= 500 * time.Millisecond {
+			time.Sleep(500 * time.Millisecond)
+			fill()
+		}
+	}()
+}
+
 // send sends a request and returns the status and the body. An interrupted response is an error.
 func (v *testVM) send(ctx context.Context, path, id string) (int, string, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, v.server.URL+path, nil)
 	assert.NilError(v.t, err)
 	r.Header.Set("Id", id)
-	r.Header.Set("Timeout-Ms", "3000")
+	r.Header.Set("Timeout-Ms", fmt.Sprint(v.timeout.Milliseconds()))
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, "", err
@@ -434,3 +458,49 @@
 	v.assertReleased(retries)
 	t.Logf("%d of %d calls had a standby attempt", second.arrivals.Load(), calls)
 }
+
+// Guards against a stream that is cut at once when its target breaks off while all others are
+// full: it had run longer than a call may be queued after its arrival, although its caller
+// still waited for the next event.
+func TestBegunStreamIsQueuedWhileItsCallerWaits(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	first := newTestTarget(t, func(c *connection) {
+		c.events(1, 3)
+		time.Sleep(2500 * time.Millisecond) // longer than the objective and most of the timeout
+		c.events(4, 4)
+		v.fillSecond(time.Second)
+	})
+	second := newTestTarget(t, func(c *connection) {
+		assert.Check(t, c.last == 4, "last event %d", c.last)
+		c.events(5, 6)
+		c.finish()
+	})
+	v = newTestVM(t, 2, first, second)
+	v.timeout = 5 * time.Second
+	_, body, err := v.send(t.Context(), "/stream/x", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, body, testEvents(1, 6))
+	v.assertReleased(1)
+}
+
+// Guards against a stream that is queued longer than its caller waits for the next event.
+func TestBegunStreamIsNotQueuedForever(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	first := newTestTarget(t, func(c *connection) {
+		c.events(1, 3)
+		v.fillSecond(5 * time.Second)
+	})
+	second := newTestTarget(t, func(c *connection) {})
+	v = newTestVM(t, 2, first, second)
+	v.timeout = 5 * time.Second
+	start := time.Now()
+	_, body, err := v.send(t.Context(), "/stream/x", "a")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, body, testEvents(1, 3))
+	waited := time.Since(start)
+	assert.Assert(t, waited > 2*time.Second && waited < 3*time.Second, waited)
+	assert.Equal(t, second.arrivals.Load(), int32(0))
+	v.assertReleased(1)
+}
