--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -23,6 +22,11 @@
 	// maxQueueShare is the fraction of a request's timeout for which it is queued at most:
 	// a caller that is refused after that still has time to retry.
 	maxQueueShare = 0.7
+	// Callers abandon a stream after a gap of minStreamPatience, or of these multiples of the
+	// objective and of the route's maximum event gap, whichever is longest.
+	minStreamPatience  = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
 )
 
 // destination is the target of an attempt.
@@ -129,47 +133,45 @@
 
 // mayQueue reports whether a call that was not placed for reason f may stay queued.
 func (h *Handler) mayQueue(c *call, f *refusal) bool {
-	waited := time.Since(c.arrived)
 	switch {
-	case waited > c.maxQueueTime():
+	case f != refuseBusy && f != refuseDeferred || c.queueTimeLeft() <= 0:
 		return false
-	case f == refuseDeferred:
+	case f == refuseDeferred || c.progress.begun:
 		return true
-	case f == refuseBusy:
-		return waited < time.Duration(queueObjectiveShare*float64(c.route.Objective))
 	}
-	return false
+	return time.Since(c.arrived) < time.Duration(queueObjectiveShare*float64(c.route.Objective))
 }
 
-// maxQueueTime returns how long after its arrival a call may be queued.
-func (c *call) maxQueueTime() time.Duration {
-	return time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
+// queueTimeLeft returns how much longer a call may be queued. A stream that has begun cannot
+// be refused any more: it is queued as long as its caller waits for the next event.
+func (c *call) queueTimeLeft() time.Duration {
+	if c.progress.begun {
+		return streamPatience(c.route) - time.Since(c.progress.lastEventAt)
+	}
+	maxQueueTime := time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
+	return maxQueueTime - time.Since(c.arrived)
 }
 
-// candidates returns the usable targets that the call has not tried.
-func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
-	return h.untriedTargets(view, c.service, c.tried)
+// streamPatience returns the gap between events after which callers abandon a stream.
+func streamPatience(route *topology.Route) time.Duration {
+	return max(minStreamPatience, patienceObjectives*route.Objective, patienceGaps*route.MaxEventGap)
 }
 
-func (h *Handler) untriedTargets(view *topology.View, service string, tried map[string]bool) []*topology.Target {
+// candidates returns the usable targets that the call has not tried.
+func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
 	now := time.Now()
 	var targets []*topology.Target
-	for _, t := range view.Usable(service) {
-		if !tried[t.ID] && !h.Health.Status(t.ID, now).Replaced {
+	for _, t := range view.Usable(c.service) {
+		if !c.tried[t.ID] && !h.Health.Status(t.ID, now).Replaced {
 			targets = append(targets, t)
 		}
 	}
 	return targets
 }
 
-// alternativeCheck returns a function that reports whether a target other than the current
-// one could take the call. The function may run concurrently with the call.
-func (h *Handler) alternativeCheck(c *call, current *topology.Target) func() bool {
-	service, tried := c.service, maps.Clone(c.tried)
-	tried[current.ID] = true
-	return func() bool {
-		return slices.ContainsFunc(h.untriedTargets(h.Views.Get(), service, tried), h.responsive)
-	}
+// hasAlternative reports whether a target that the call has not tried seems to be reachable.
+func (h *Handler) hasAlternative(c *call) bool {
+	return slices.ContainsFunc(h.candidates(h.Views.Get(), c), h.responsive)
 }
 
 // responsive reports whether a target is not known to be unreachable.
@@ -246,7 +248,7 @@
 	}
 	plan, ok := placement.Choose(model, engines, request)
 	c.predictedFirstEvent = plan.TimeToFirstEvent
-	if !ok || plan.TimeToFirstEvent > request.TimeLeft {
+	if !ok || plan.TimeToFirstEvent > c.remaining() {
 		return nil, refuseBusy
 	}
 	if plan.Decide(request) == placement.Defer {
