Decode the parts of prompts and log them with each placement

The shared parts stand in the line "placed" now. The last part belongs to one request or session and is kept apart. Nothing decides on them yet.

--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -19,6 +19,10 @@
 	Timeout      time.Duration
 	PromptTokens int
 	OutputTokens int
+	// SharedParts are the ids of the prompt's parts that other requests may share. OwnPart is
+	// the id of its last part, which belongs to the request or its session.
+	SharedParts []string
+	OwnPart     string
 }
 
 // ForwardInfo holds the values that are added to the header of a request to a target.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -165,7 +165,7 @@
 	}
 	h.Log.Info("placed", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(), "target", d.target.ID,
 		"prompt", c.meta.PromptTokens, "answer", c.meta.OutputTokens, "left", c.remaining().Round(time.Millisecond), "reason", reason, "helpers", helpers,
-		"suspect_zones", slices.Sorted(maps.Keys(c.suspectZones)))
+		"parts", c.meta.SharedParts, "suspect_zones", slices.Sorted(maps.Keys(c.suspectZones)))
 }
 
 // attempt sends the call to one target.
