Quarantine parts of prompts that crash targets

Callers saw: requests that share one part of their prompt crash each engine that begins to answer one, one after the other; the others' streams on it are cut.

Cause: a broken connection was a fault of the target alone. No VM kept what the target held, so the repeat and each further request with the part went to the next target.

Change: an attempt whose connection breaks before or just after its first event, at a target that then refuses connections, is recorded as evidence against the shared parts of its prompt; an attempt that is delivered, or written for a second, clears them. VMs tell each other both with the status in their heartbeats. A pure function (internal/quarantine/decide.go) condemns a part that explains several independent crashes and was never served since: two prompts, or three crashes under a caller's first and second request; more for parts that were sound earlier. Crashes that a condemned part explains do not count against the other parts that were there. Requests with such a part are refused with 503 before they are sent, attempts that wait for their first event are ended. The quarantine lapses after 3 minutes without a crash (30 s for a part that was sound earlier); one crash renews it then.

Requests of one caller's tries carry the same last part (seen in the logs), so the last part tells prompts apart, not the request id.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -67,6 +67,8 @@
 	control *http.ResponseController
 	// headerSent is true once the response header was written.
 	headerSent bool
+	// status is the status of the response.
+	status int
 	// lastEventID is the id of the last event written, events the number of events.
 	lastEventID string
 	events      int
@@ -87,7 +89,7 @@
 	if o.headerSent {
 		return
 	}
-	o.headerSent = true
+	o.headerSent, o.status = true, status
 	to := o.w.Header()
 	for name, values := range header {
 		to[name] = values
@@ -101,6 +103,9 @@
 	o.w.WriteHeader(status)
 }
 
+// successful reports whether the response has a status of success.
+func (o *callerWriter) successful() bool { return o.status >= 200 && o.status < 300 }
+
 func (o *callerWriter) write(p []byte) {
 	if o.writeErr != nil || len(p) == 0 {
 		return
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -17,6 +17,7 @@
 
 	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/topology"
 	"github.com/oriolefront/oriolefront/internal/upstream"
 	"github.com/oriolefront/oriolefront/internal/wait"
@@ -50,9 +51,13 @@
 	Isolated func() bool
 	// KeysUnconfirmed reports whether this VM cannot tell if API keys were revoked.
 	KeysUnconfirmed func() bool
+	// Quarantine knows the parts of prompts that crash targets.
+	Quarantine *quarantine.Detector
 
-	bodyBudget *budget.Bytes
-	queue      queue
+	bodyBudget  *budget.Bytes
+	queue       queue
+	observed    observedSet
+	crashProbes crashProbes
 	// placing makes the choice of a target and its entry in the registry one step, so
 	// that two calls do not choose the same slot.
 	placing   sync.Mutex
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -26,6 +26,16 @@
 // CountPanic counts a request whose handler panicked.
 func (m *Metrics) CountPanic() { m.set.GetOrCreateCounter("oriole_panics_total").Inc() }
 
+// CountQuarantined counts a request that was not sent because of a quarantined part.
+func (m *Metrics) CountQuarantined() {
+	m.set.GetOrCreateCounter("oriole_quarantine_refusals_total").Inc()
+}
+
+// CountTargetCrash counts a request under which a target crashed before it was answered.
+func (m *Metrics) CountTargetCrash() {
+	m.set.GetOrCreateCounter("oriole_target_crash_evidence_total").Inc()
+}
+
 // ObserveRequest records the outcome and the duration of a call that was not refused.
 func (m *Metrics) ObserveRequest(kind string, o outcome, d time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`oriole_requests_total{kind=%q,outcome=%q}`, kind, o)).Inc()
--- /dev/null
+++ b/internal/forward/observed.go
@@ -0,0 +1,47 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+)
+
+// observedAttempt is an attempt in progress of a call whose prompt has shared parts.
+type observedAttempt struct {
+	c      *call
+	d      *destination
+	cancel context.CancelCauseFunc
+	// served is true once it was recorded that the parts are served.
+	served atomic.Bool
+}
+
+// observedSet holds the attempts in progress of calls whose prompts have shared parts.
+type observedSet struct {
+	mu       sync.Mutex
+	attempts map[*observedAttempt]bool
+}
+
+func (s *observedSet) add(a *observedAttempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attempts == nil {
+		s.attempts = map[*observedAttempt]bool{}
+	}
+	s.attempts[a] = true
+}
+
+func (s *observedSet) remove(a *observedAttempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.attempts, a)
+}
+
+func (s *observedSet) all() []*observedAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	attempts := make([]*observedAttempt, 0, len(s.attempts))
+	for a := range s.attempts {
+		attempts = append(attempts, a)
+	}
+	return attempts
+}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -51,6 +51,9 @@
 		if f := h.recheckKey(c); f != nil {
 			return nil, f
 		}
+		if f := h.refuseQuarantined(c); f != nil {
+			return nil, f
+		}
 		d, f := h.tryPlace(c)
 		if d != nil || !h.mayQueue(c, f) {
 			return d, f
--- /dev/null
+++ b/internal/forward/quarantine.go
@@ -0,0 +1,186 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oriolefront/oriolefront/internal/quarantine"
+	"github.com/oriolefront/oriolefront/internal/topology"
+)
+
+// Parameters of the evidence about crashes of targets.
+const (
+	// crashWindow is the time after the first event of a response within which a crash of the
+	// target may have been caused by the request: the first events may leave the target
+	// before it crashes.
+	crashWindow = 150 * time.Millisecond
+	// crashProbeTTL is how long the attempts that broke with one target share a probe of it.
+	crashProbeTTL = 50 * time.Millisecond
+	// crashProbeTries is 2 so that a lost packet is not taken for a crash.
+	crashProbeTries = 2
+)
+
+// errQuarantined ends an attempt before its first event, because a part of its prompt was
+// quarantined meanwhile.
+var errQuarantined = errors.New("a part of the prompt was quarantined")
+
+// refuseQuarantined returns a refusal if a part of the call's prompt is quarantined.
+func (h *Handler) refuseQuarantined(c *call) *refusal {
+	if len(c.meta.SharedParts) == 0 {
+		return nil
+	}
+	now := time.Now()
+	v, found := h.Quarantine.Check(c.meta.SharedParts, now)
+	if !found {
+		return nil
+	}
+	h.Metrics.CountQuarantined()
+	h.Log.Info("request not sent: a part of its prompt is quarantined", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(),
+		"part", v.Part, "crashes", v.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond), "quarantined_for", now.Sub(v.Since).Round(time.Millisecond),
+		"until", v.Until.Sub(now).Round(time.Second), "attempts", c.attemptsSent)
+	return &refusal{http.StatusServiceUnavailable, fmt.Sprintf("part %s of the prompt is quarantined: targets crashed under requests with it", v.Part), v.Until.Sub(now)}
+}
+
+// attempt sends the call to one target, and records what the result says about the parts of
+// its prompt.
+func (h *Handler) attempt(ctx context.Context, c *call, d *destination) (outcome, error) {
+	if len(c.meta.SharedParts) == 0 {
+		return h.send(ctx, c, d)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &observedAttempt{c: c, d: d, cancel: cancel}
+	h.observed.add(a)
+	defer h.observed.remove(a)
+	o, err := h.send(ctx, c, d)
+	h.recordEvidence(a, o, err)
+	return o, err
+}
+
+// recordEvidence records whether an attempt that has ended was served, or its target crashed.
+func (h *Handler) recordEvidence(a *observedAttempt, o outcome, err error) {
+	now := time.Now()
+	began, writing := a.d.running.FirstEventAt()
+	switch {
+	case o == delivered && a.c.caller.successful():
+		if !writing {
+			began = now
+		}
+		h.recordServed(a, began)
+	case writing && now.Sub(began) >= crashWindow:
+		h.recordServedLong(a, now)
+	case o == outcomeUnknown && connectionBroke(err) && h.crashed(a.d.target):
+		h.Metrics.CountTargetCrash()
+		h.Log.Warn("target crashed under a request that it had not answered", "request", a.c.meta.ID, "target", a.d.target.ID, "zone", a.d.target.Zone,
+			"parts", a.c.meta.SharedParts, "own_part", a.c.meta.OwnPart, "since_placement", now.Sub(a.d.running.StartedAt()).Round(time.Millisecond), "first_event", writing, "error", err)
+		h.Quarantine.RecordCrash(a.d.target.ID, a.c.meta.ID, a.c.meta.OwnPart, a.c.meta.SharedParts, now)
+	}
+}
+
+// recordServed records that a target serves the parts of an attempt. It does so once.
+func (h *Handler) recordServed(a *observedAttempt, began time.Time) {
+	if a.served.CompareAndSwap(false, true) {
+		h.Quarantine.RecordServed(a.c.meta.OwnPart, a.c.meta.SharedParts, began)
+	}
+}
+
+// recordServedLong does this for an attempt that has been written for longer than a crash takes.
+func (h *Handler) recordServedLong(a *observedAttempt, now time.Time) {
+	if began, writing := a.d.running.FirstEventAt(); writing && now.Sub(began) >= quarantine.SurvivalTime {
+		h.recordServed(a, began)
+	}
+}
+
+// RecordServed records the attempts in progress that are served. It is called several times a
+// second.
+func (h *Handler) RecordServed(now time.Time) {
+	for _, a := range h.observed.all() {
+		h.recordServedLong(a, now)
+	}
+}
+
+// CancelQuarantined ends the attempts with a part of a prompt whose responses have not begun.
+func (h *Handler) CancelQuarantined(part string) {
+	for _, a := range h.observed.all() {
+		if _, writing := a.d.running.FirstEventAt(); !writing && slices.Contains(a.c.meta.SharedParts, part) {
+			a.cancel(errQuarantined)
+		}
+	}
+}
+
+// connectionBroke reports whether an attempt failed because the target's end of its connection
+// was closed or reset, and not because this VM ended it.
+func connectionBroke(err error) bool {
+	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errStalled, errUnreachable, errQuarantined} {
+		if errors.Is(err, own) {
+			return false
+		}
+	}
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashed reports whether a target, whose connection has just broken, accepts no connections
+// any more although it was not about to leave.
+func (h *Handler) crashed(t *topology.Target) bool {
+	known := slices.ContainsFunc(h.Views.Get().Targets(), func(other *topology.Target) bool { return other.ID == t.ID && !other.Draining })
+	return known && !h.crashProbes.accepts(t, h.Pool.CanConnect)
+}
+
+// crashProbes are the connection probes of targets whose connections have broken. The attempts
+// that break together share one.
+type crashProbes struct {
+	mu       sync.Mutex
+	byTarget map[string]*crashProbe
+}
+
+type crashProbe struct {
+	started  time.Time
+	done     chan struct{}
+	accepted bool // valid after done is closed
+}
+
+// accepts reports whether a target accepts a connection now.
+func (p *crashProbes) accepts(t *topology.Target, connect func(address string) bool) bool {
+	probe, first := p.join(t.ID, time.Now())
+	if first {
+		for range crashProbeTries {
+			probe.accepted = probe.accepted || connect(t.Address)
+		}
+		close(probe.done)
+	}
+	<-probe.done
+	return probe.accepted
+}
+
+// join returns the probe of a target that was started just now, or a new one that the caller
+// must run.
+func (p *crashProbes) join(target string, now time.Time) (probe *crashProbe, first bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if probe := p.byTarget[target]; probe != nil && now.Sub(probe.started) < crashProbeTTL {
+		return probe, false
+	}
+	for id, probe := range p.byTarget {
+		if now.Sub(probe.started) >= crashProbeTTL {
+			delete(p.byTarget, id)
+		}
+	}
+	if p.byTarget == nil {
+		p.byTarget = map[string]*crashProbe{}
+	}
+	probe = &crashProbe{started: now, done: make(chan struct{})}
+	p.byTarget[target] = probe
+	return probe, true
+}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -168,8 +168,8 @@
 		"parts", c.meta.SharedParts, "suspect_zones", slices.Sorted(maps.Keys(c.suspectZones)))
 }
 
-// attempt sends the call to one target.
-func (h *Handler) attempt(ctx context.Context, c *call, d *destination) (outcome, error) {
+// send sends the call to one target and relays the response.
+func (h *Handler) send(ctx context.Context, c *call, d *destination) (outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var helpers []string
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// StartedAt returns when the request was started.
+func (r *Running) StartedAt() time.Time { return r.started }
+
+// FirstEventAt returns when the response began; ok is false before that.
+func (r *Running) FirstEventAt() (at time.Time, ok bool) {
+	after := time.Duration(r.firstEventAfter.Load())
+	return r.started.Add(after), after > 0
+}
+
 // Done removes the request.
 func (r *Running) Done() {
 	r.registry.mu.Lock()
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/replica"
 )
 
@@ -93,6 +94,8 @@
 	// Confirmed holds the time of the store's steady clock, in milliseconds, up to
 	// which the VM's replica of each table is known to be current.
 	Confirmed map[string]int64 `msgpack:"k,omitempty"`
+	// Quarantine is what the VM knows of parts of prompts that crash targets.
+	Quarantine *quarantine.Report `msgpack:"q,omitempty"`
 }
 
 // requestMessage is the wire format of an inflight.Item; times are in milliseconds.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,6 +19,7 @@
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/link"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/replica"
 )
 
@@ -64,6 +65,7 @@
 	reachability     TargetReachability
 	confirmed        func(table string) (storeTime time.Duration, ok bool)
 	confirm          func(table string, version uint64, storeTime time.Duration)
+	quarantine       *quarantine.Detector
 
 	conn       *net.UDPConn
 	client     *link.Client
@@ -126,6 +128,8 @@
 	// known to be current. Confirm records what another VM knows about a version of it.
 	Confirmed func(table string) (storeTime time.Duration, ok bool)
 	Confirm   func(table string, version uint64, storeTime time.Duration)
+	// Quarantine is told to the other VMs, and learns from them.
+	Quarantine *quarantine.Detector
 }
 
 // New opens the UDP socket and the link server.
@@ -140,7 +144,7 @@
 	}
 	m := &Mesh{
 		self: o.Self, log: o.Log, registry: o.Registry, applyDelta: o.ApplyDelta, refresh: o.Refresh, lastStoreContact: o.LastStoreContact, storeUnreachable: o.StoreUnreachable, reachability: o.Reachability,
-		confirmed: o.Confirmed, confirm: o.Confirm,
+		confirmed: o.Confirmed, confirm: o.Confirm, quarantine: o.Quarantine,
 		replicas: map[string]*replica.Replica{}, conn: conn, instanceID: rand.Uint64(),
 		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
 		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
@@ -280,7 +284,7 @@
 	s := &status{
 		Name: m.self.Name, Zone: m.self.Zone, HeartbeatAddress: m.self.HeartbeatAddress, LinkAddress: m.self.LinkAddress,
 		Leaving: m.leaving.Load(), StoreAgeMs: noContactAge.Milliseconds(), StoreUnreachable: m.storeUnreachable(),
-		Versions: map[string]uint64{}, Confirmed: map[string]int64{},
+		Versions: map[string]uint64{}, Confirmed: map[string]int64{}, Quarantine: m.quarantine.Report(time.Now()),
 	}
 	if at := m.lastStoreContact(); !at.IsZero() {
 		s.StoreAgeMs = time.Since(at).Milliseconds()
@@ -361,6 +365,9 @@
 	}
 	m.reachability.MarkSuspect(h.Unreachable)
 	if h.Status != nil {
+		if h.Status.Quarantine != nil {
+			m.quarantine.Merge(h.Status.Quarantine, time.Now())
+		}
 		for table, ms := range h.Status.Confirmed {
 			m.confirm(table, h.Status.Versions[table], time.Duration(ms)*time.Millisecond)
 		}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/replica"
 	"github.com/oriolefront/oriolefront/internal/tcp"
 )
@@ -61,6 +62,7 @@
 		LastStoreContact: func() time.Time { return time.Time{} },
 		StoreUnreachable: func() bool { return false },
 		Reachability:     allReachable{},
+		Quarantine:       quarantine.New(slog.New(slog.DiscardHandler)),
 		Confirmed:        n.freshness.Confirmed,
 		Confirm: func(_ string, version uint64, storeTime time.Duration) {
 			if n.replica.Position() >= version {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,7 @@
 	"github.com/oriolefront/oriolefront/internal/freshness"
 	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/peers"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/replica"
 	"github.com/oriolefront/oriolefront/internal/storesync"
 	"github.com/oriolefront/oriolefront/internal/tcp"
@@ -88,6 +89,7 @@
 	targetsSyncer  *storesync.Syncer
 	pool           *upstream.Pool
 	health         *forward.Health
+	quarantine     *quarantine.Detector
 	handler        *forward.Handler
 	metrics        *metrics.Set
 	isolated       atomic.Bool
@@ -117,7 +119,7 @@
 // New builds a process without starting it.
 func New(o Options) (*Process, error) {
 	p := &Process{settingsFile: o.File, listenAddresses: o.Settings.Listen, vm: o.Settings.VM, log: o.Log, store: o.Store, tables: o.Tables,
-		viewHolder: topology.NewHolder(), registry: inflight.New(), health: forward.NewHealth(), metrics: metrics.NewSet()}
+		viewHolder: topology.NewHolder(), registry: inflight.New(), health: forward.NewHealth(), metrics: metrics.NewSet(), quarantine: quarantine.New(o.Log)}
 	p.settings.Store(o.Settings)
 	p.viewBuilder = newViewBuilder(o.Log, o.Decoder, p.viewHolder, p.recoveringFromOutage)
 	p.operatorSyncer = &storesync.Syncer{Store: o.Store, Replica: replica.New(o.Tables.Operator), Log: o.Log, OnChange: p.operatorChanged,
@@ -132,7 +134,7 @@
 			HeartbeatAddress: o.Settings.Listen.Datagrams, LinkAddress: o.Settings.Listen.Links},
 		Log: o.Log, Registry: p.registry, Replicas: []*replica.Replica{p.operatorSyncer.Replica, p.targetsSyncer.Replica},
 		ApplyDelta: p.applyDelta, Refresh: p.refresh, LastStoreContact: p.lastStoreContact, StoreUnreachable: p.storeUnreachable, Reachability: p.health,
-		Confirmed: p.confirmed, Confirm: p.confirm,
+		Confirmed: p.confirmed, Confirm: p.confirm, Quarantine: p.quarantine,
 	})
 	if err != nil {
 		return nil, err
@@ -145,13 +147,15 @@
 		Zone: p.vm.Zone, Instance: strconv.FormatUint(rand.Uint64(), 36),
 		Views: p.viewHolder, Protocol: o.Protocol, Pool: p.pool, Registry: p.registry, Health: p.health, Log: o.Log,
 		RetryBudget: forward.NewRetryBudget(p.retryLimits, vms), VMCount: vms,
-		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load, KeysUnconfirmed: p.keysAreUnconfirmed,
+		Metrics: forward.NewMetrics(p.metrics), Isolated: p.isolated.Load, KeysUnconfirmed: p.keysAreUnconfirmed, Quarantine: p.quarantine,
 	}
 	p.handler.Init()
 	p.registry.OnChange = func() {
 		mesh.ScheduleHeartbeat()
 		p.handler.LoadChanged()
 	}
+	p.quarantine.OnEvidence = mesh.ScheduleStatusHeartbeat
+	p.quarantine.OnQuarantine = p.handler.CancelQuarantined
 	p.registry.OnPeerChange = p.handler.LoadChanged
 	p.registerGauges(o.DroppedLogLines)
 	return p, nil
@@ -163,6 +167,7 @@
 	p.metrics.NewGauge("oriole_store_age_seconds", func() float64 { return p.mesh.Status().StoreAge.Seconds() })
 	p.metrics.NewGauge("oriole_configuration_age_seconds", func() float64 { return p.operatorSyncer.Freshness.Age().Seconds() })
 	p.metrics.NewGauge("oriole_targets", func() float64 { return float64(len(p.viewHolder.Get().Targets())) })
+	p.metrics.NewGauge("oriole_quarantined_parts", func() float64 { return float64(p.quarantine.Active()) })
 	if droppedLogLines != nil {
 		p.metrics.NewGauge("oriole_log_lines_dropped", func() float64 { return float64(droppedLogLines()) })
 	}
@@ -353,6 +358,8 @@
 		p.viewBuilder.removeMissingTargets()
 		p.updateIsolation()
 		p.updateKeysUnconfirmed()
+		p.handler.RecordServed(time.Now())
+		p.quarantine.Tick(time.Now())
 		view := p.viewHolder.Get()
 		known := map[string]bool{}
 		for _, t := range view.Targets() {
--- /dev/null
+++ b/internal/quarantine/decide.go
@@ -0,0 +1,266 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Parameters of the decision.
+const (
+	// sameCrashWindow is the time within which crashes of one target are one event: VMs learn
+	// of it at slightly different moments.
+	sameCrashWindow = 2 * time.Second
+	// independenceGap is the least time between events that count as independent. Targets that
+	// crash closer together have probably failed in one outage.
+	independenceGap = 100 * time.Millisecond
+	// newPartPrompts is the number of prompts with crashes that condemns a part of which no
+	// request was ever served, tiedPrompts if another explanation fits as many events. A single
+	// prompt condemns it after newPartCrashes events, if its caller has tried again.
+	newPartPrompts  = 2
+	tiedPrompts     = 3
+	newPartCrashes  = 3
+	newPartRequests = 2
+	// knownPartPrompts condemns a part of which requests were served before. servedDelay is the
+	// least time since the first of these events: a served request is known after survivalTime
+	// and a heartbeat.
+	knownPartPrompts = 4
+	servedDelay      = 2 * time.Second
+	// settleTime is how long a decision waits for what other VMs have served, if it rests on
+	// crashes about which they no longer tell this without being asked.
+	settleTime = 300 * time.Millisecond
+)
+
+// Crash records that a target crashed while it held a request of which it had not answered
+// anything, or only just.
+type Crash struct {
+	// ID is random. It identifies the record when other VMs repeat it.
+	ID      uint64
+	Target  string
+	Request string
+	// OwnPart is the part of the prompt that belongs to the request or its session. A caller that
+	// tries again sends it again, under a new request id.
+	OwnPart string
+	// Parts are the parts that other requests may share.
+	Parts []string
+	At    time.Time
+}
+
+// snapshot is everything on which a decision depends.
+type snapshot struct {
+	now     time.Time
+	crashes []Crash
+	// served holds for shared and own parts when the latest answer with them began that was
+	// written on without a crash. Parts that were never served are missing.
+	served map[string]time.Time
+	// condemned are the quarantined parts. They explain the crashes of their requests.
+	condemned map[string]bool
+	// lapsed are the parts whose quarantine has lapsed, with the time of that: they explain the
+	// crashes before it, and a single one after it condemns them again.
+	lapsed map[string]time.Time
+	// experienced is true if enough requests were served to tell a new part from one whose
+	// requests this VM has not seen yet.
+	experienced bool
+}
+
+// event is the crash of one target, with the requests that it held.
+type event struct {
+	target string
+	at     time.Time
+	held   []Crash
+}
+
+// Finding is a part that is condemned, with the evidence.
+type Finding struct {
+	Part string
+	// Crashes is the number of events. Separate is the number of those that are far enough apart
+	// to be independent, Prompts that of separate ones with different own parts, and Requests the
+	// number of requests.
+	Crashes  int
+	Separate int
+	Prompts  int
+	Requests int
+	First    time.Time
+	Last     time.Time
+	// ServedBefore is true for a part of which requests were served earlier.
+	ServedBefore bool
+
+	events []*event
+}
+
+// decide returns the parts that must be quarantined. It explains the crashes one part at a
+// time, the most conspicuous first: a crash that a condemned part explains is no evidence
+// against the others that were there.
+func decide(s snapshot) []Finding {
+	var findings []Finding
+	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool { return e.explained(s.explains) })
+	for {
+		best, ok := mostConspicuous(s, events)
+		if !ok {
+			return findings
+		}
+		findings = append(findings, best)
+		events = slices.DeleteFunc(events, func(e *event) bool {
+			return e.explained(func(part string, _ time.Time) bool { return part == best.Part })
+		})
+	}
+}
+
+// explains reports whether an earlier decision explains a crash by a part.
+func (s *snapshot) explains(part string, at time.Time) bool {
+	lapsed, ok := s.lapsed[part]
+	return s.condemned[part] || ok && !at.After(lapsed)
+}
+
+// explained reports whether a part of a request that was there explains the event.
+func (e *event) explained(by func(part string, at time.Time) bool) bool {
+	return slices.ContainsFunc(e.held, func(c Crash) bool {
+		return slices.ContainsFunc(c.Parts, func(part string) bool { return by(part, e.at) })
+	})
+}
+
+// groupEvents returns the crashes by target and time, in an order that does not depend
+// on that of the records.
+func groupEvents(crashes []Crash) []*event {
+	sorted := slices.Clone(crashes)
+	slices.SortStableFunc(sorted, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Target, b.Target), strings.Compare(a.OwnPart, b.OwnPart), strings.Compare(a.Request, b.Request))
+	})
+	var events []*event
+	latest := map[string]*event{}
+	for _, c := range sorted {
+		e := latest[c.Target]
+		if e == nil || c.At.Sub(e.at) > sameCrashWindow {
+			e = &event{target: c.Target, at: c.At}
+			latest[c.Target] = e
+			events = append(events, e)
+		}
+		e.held = append(e.held, c)
+	}
+	return events
+}
+
+// mostConspicuous returns the part to condemn next, if there is one: first parts that were
+// condemned before, then those that were never served, then the one served longest ago.
+func mostConspicuous(s snapshot, events []*event) (Finding, bool) {
+	candidates := allFindings(s, events)
+	for _, f := range candidates {
+		if _, ok := s.lapsed[f.Part]; ok {
+			return f, true
+		}
+	}
+	for _, f := range candidates {
+		if !f.ServedBefore && s.experienced && newPartCondemned(s, f) {
+			return f, true
+		}
+	}
+	for _, f := range candidates {
+		if f.Prompts >= knownPartPrompts && s.now.Sub(f.First) >= servedDelay {
+			return f, true
+		}
+	}
+	return Finding{}, false
+}
+
+// allFindings returns the evidence against each part, ordered by when it was served last, with
+// those that were never served first, and then by the number of crashes.
+func allFindings(s snapshot, events []*event) []Finding {
+	byPart := map[string]*tally{}
+	for _, e := range events {
+		for _, c := range e.held {
+			for _, part := range c.Parts {
+				served, ever := s.served[part]
+				if served.After(e.at) {
+					continue
+				}
+				if byPart[part] == nil {
+					byPart[part] = &tally{Finding: Finding{Part: part, ServedBefore: ever}, ownParts: map[string]bool{}, requests: map[string]bool{}}
+				}
+				byPart[part].add(e, c)
+			}
+		}
+	}
+	findings := make([]Finding, 0, len(byPart))
+	for _, t := range byPart {
+		findings = append(findings, t.Finding)
+	}
+	slices.SortFunc(findings, func(a, b Finding) int {
+		return cmp.Or(s.served[a.Part].Compare(s.served[b.Part]), b.Crashes-a.Crashes, strings.Compare(a.Part, b.Part))
+	})
+	return findings
+}
+
+// tally collects the evidence against a part, from the events since its last served request.
+type tally struct {
+	Finding
+	// last is the event added last, lastSeparate the last separate one, and lastPrompt the last
+	// one that was counted for a prompt.
+	last, lastSeparate, lastPrompt *event
+	ownParts, requests             map[string]bool
+}
+
+// add adds a request that was present at an event. Events come in order of time.
+func (t *tally) add(e *event, c Crash) {
+	if t.last == nil {
+		t.First = e.at
+	}
+	if t.last != e {
+		t.Crashes++
+		t.last, t.Last = e, e.at
+		t.events = append(t.events, e)
+	}
+	if e.separateFrom(t.lastSeparate) {
+		t.Separate++
+		t.lastSeparate = e
+	}
+	if !t.ownParts[c.OwnPart] && e.separateFrom(t.lastPrompt) {
+		t.Prompts++
+		t.lastPrompt = e
+		t.ownParts[c.OwnPart] = true
+	}
+	if !t.requests[c.Request] {
+		t.Requests++
+		t.requests[c.Request] = true
+	}
+}
+
+// separateFrom reports whether an event is independent of an earlier one, which may be nil.
+func (e *event) separateFrom(earlier *event) bool {
+	return earlier == nil || e.at.Sub(earlier.at) >= independenceGap
+}
+
+// newPartCondemned reports whether a part that was never served must be quarantined. With the
+// least evidence it must be the only explanation.
+func newPartCondemned(s snapshot, f Finding) bool {
+	enough := f.Prompts >= newPartPrompts || f.Separate >= newPartCrashes && f.Requests >= newPartRequests
+	if !enough || s.now.Sub(f.First) > reportedFor && s.now.Sub(f.Last) < settleTime {
+		return false
+	}
+	return f.Prompts >= tiedPrompts || !otherExplanation(s, f)
+}
+
+// otherExplanation reports whether another part that was never served, or a prompt without the
+// part that was not served since, was present at all crashes of a finding.
+func otherExplanation(s snapshot, f Finding) bool {
+	var others map[string]bool
+	for _, e := range f.events {
+		present := map[string]bool{}
+		for _, c := range e.held {
+			for _, part := range c.Parts {
+				if _, ever := s.served[part]; !ever && part != f.Part {
+					present[part] = true
+				}
+			}
+			if !slices.Contains(c.Parts, f.Part) && !s.served[c.OwnPart].After(e.at) {
+				present[c.OwnPart] = true
+			}
+		}
+		if others == nil {
+			others = present
+		}
+		maps.DeleteFunc(others, func(part string, _ bool) bool { return !present[part] })
+	}
+	return len(others) > 0
+}
--- /dev/null
+++ b/internal/quarantine/decide_test.go
@@ -0,0 +1,195 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+
+// at returns the time a number of milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// crash returns the record of a request that was present at a crash. Its own part and its id
+// are its name; a caller's second try is named with a trailing quote.
+func crash(ms int, target, request string, parts ...string) Crash {
+	ownPart := request
+	if request[len(request)-1] == '\'' {
+		ownPart = request[:len(request)-1]
+	}
+	return Crash{Target: target, Request: request, OwnPart: "own-" + ownPart, Parts: parts, At: at(ms)}
+}
+
+func condemnedParts(findings []Finding) []string {
+	var parts []string
+	for _, f := range findings {
+		parts = append(parts, f.Part)
+	}
+	return parts
+}
+
+// Guards against a part that goes on crashing targets, and against sound parts that are
+// quarantined because they were present at crashes.
+func TestDecide(t *testing.T) {
+	served := func(ms int, parts ...string) map[string]time.Time {
+		m := map[string]time.Time{"f": at(-100)}
+		for _, part := range parts {
+			m[part] = at(ms)
+		}
+		return m
+	}
+	for name, c := range map[string]struct {
+		now     int
+		crashes []Crash
+		served  map[string]time.Time
+		change  func(*snapshot)
+		want    []string
+	}{
+		"no crash": {},
+		"one crash": {
+			crashes: []Crash{crash(0, "a", "r1", "f", "x")},
+		},
+		"two prompts at two crashes": {now: 300,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r2", "f", "x")},
+			want:    []string{"x"},
+		},
+		"one request at two crashes": {now: 300,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r1", "f", "x")},
+		},
+		"one request, its repeat and its caller's second try": {now: 900,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r1", "f", "x"), crash(900, "c", "r1'", "f", "x")},
+			want:    []string{"x"},
+		},
+		"two prompts at the crash of one target": {
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(5, "a", "r2", "f", "x")},
+		},
+		"many targets at once": {now: 10,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(5, "b", "r2", "f", "x"), crash(9, "c", "r3", "f", "x"), crash(10, "d", "r4", "f", "x")},
+		},
+		"served between the crashes": {now: 300, served: served(100, "x"),
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r2", "f", "x")},
+		},
+		"served after the crashes": {now: 1500, served: served(400, "x"),
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r2", "f", "x")},
+		},
+		"bystanders at the crashes of another part": {now: 600,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f", "x"), crash(0, "a", "s1", "f", "y"),
+				crash(300, "b", "r2", "f", "x"), crash(300, "b", "s2", "f", "y"),
+				crash(600, "c", "r3", "f", "x")},
+			want: []string{"x"},
+		},
+		"two explanations": {now: 300,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f", "x"), crash(0, "a", "s1", "f", "y"),
+				crash(300, "b", "r2", "f", "x"), crash(300, "b", "s2", "f", "y")},
+		},
+		"a bystander that is sent again beside the culprit": {now: 300,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f", "x"), crash(0, "a", "s1", "f"),
+				crash(300, "b", "r2", "f", "x"), crash(300, "b", "s1", "f")},
+		},
+		"a part that always comes with the culprit": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "x", "y"), crash(300, "b", "r2", "x", "y"), crash(600, "c", "r3", "x", "y")},
+			want:    []string{"x"},
+		},
+		"two culprits": {now: 900,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r2", "f", "y"), crash(600, "c", "r3", "f", "x"), crash(900, "d", "r4", "f", "y")},
+			want:    []string{"x", "y"},
+		},
+		"part that was sound before, few crashes": {now: 5000, served: served(-5000, "x"),
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x"), crash(600, "c", "r3", "x")},
+		},
+		"part that was sound before, many crashes": {now: 2500, served: served(-5000, "x"),
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x"), crash(600, "c", "r3", "x"), crash(2500, "d", "r4", "x")},
+			want:    []string{"x"},
+		},
+		"common part, before its served requests can be known": {now: 900, served: served(-1000, "g"),
+			crashes: []Crash{crash(0, "a", "r1", "g"), crash(300, "b", "r2", "g"), crash(600, "c", "r3", "g"), crash(900, "d", "r4", "g")},
+		},
+		"the part served longest ago explains the crashes": {now: 2500, served: served(-60000, "x"),
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r2", "f", "x"), crash(600, "c", "r3", "f", "x"), crash(2500, "d", "r4", "f", "x")},
+			want:    []string{"x"},
+		},
+		"VM that does not know the usual parts yet": {now: 300,
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x")},
+			change:  func(s *snapshot) { s.experienced = false },
+		},
+		"explained by a quarantined part": {now: 600,
+			crashes: []Crash{
+				crash(0, "a", "r1", "x"), crash(0, "a", "s1", "y"),
+				crash(300, "b", "r2", "x"), crash(300, "b", "s2", "y"),
+				crash(600, "c", "r3", "x"), crash(600, "c", "s3", "y")},
+			change: func(s *snapshot) { s.condemned["x"] = true },
+		},
+		"crashes before the end of a quarantine": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x")},
+			change:  func(s *snapshot) { s.lapsed["x"] = at(500) },
+		},
+		"one crash after the end of a quarantine": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x"), crash(600, "c", "r3", "x")},
+			change:  func(s *snapshot) { s.lapsed["x"] = at(500) },
+			want:    []string{"x"},
+		},
+		"old evidence, before other VMs can tell what they served": {now: 60100,
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(60000, "b", "r2", "x")},
+		},
+		"old evidence, after that": {now: 60400,
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(60000, "b", "r2", "x")},
+			want:    []string{"x"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := snapshot{now: at(c.now), crashes: c.crashes, served: c.served, condemned: map[string]bool{}, lapsed: map[string]time.Time{}, experienced: true}
+			if s.served == nil {
+				s.served = served(0)
+			}
+			if c.change != nil {
+				c.change(&s)
+			}
+			assert.DeepEqual(t, condemnedParts(decide(s)), c.want)
+		})
+	}
+}
+
+// Guards against decisions that depend on the order in which VMs hear of crashes, and against
+// quarantines without enough evidence.
+func TestDecisionProperties(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := snapshot{now: at(10_000), served: map[string]time.Time{}, condemned: map[string]bool{}, lapsed: map[string]time.Time{}, experienced: rapid.Bool().Draw(r, "experienced")}
+		for range rapid.IntRange(0, 30).Draw(r, "crashes") {
+			n := rapid.IntRange(0, 6).Draw(r, "target")
+			request := fmt.Sprintf("r%d", rapid.IntRange(0, 15).Draw(r, "request"))
+			parts := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 3, rapid.ID).Draw(r, "parts")
+			// Each target crashes once, some of them in one outage.
+			s.crashes = append(s.crashes, crash([]int{0, 20, 40, 900, 2500, 5000, 9000}[n], fmt.Sprint(n), request, parts...))
+		}
+		for _, part := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), rapid.ID).Draw(r, "served") {
+			s.served[part] = at(rapid.IntRange(-5000, 10_000).Draw(r, "served at"))
+		}
+		findings := decide(s)
+		for _, f := range findings {
+			present, requests := map[string]bool{}, map[string]bool{}
+			for _, c := range s.crashes {
+				for _, part := range c.Parts {
+					if part == f.Part && !s.served[part].After(c.At) {
+						present[c.Target], requests[c.Request] = true, true
+					}
+				}
+			}
+			least := newPartPrompts
+			if _, ever := s.served[f.Part]; ever || !s.experienced {
+				least = knownPartPrompts
+			}
+			assert.Assert(r, len(present) >= least && len(requests) >= 2, "%+v", f)
+			assert.Assert(r, f.Prompts <= f.Separate && f.Separate <= f.Crashes && f.Crashes <= len(present), "%+v", f)
+		}
+		shuffled := s
+		shuffled.crashes = rapid.Permutation(s.crashes).Draw(r, "order")
+		assert.DeepEqual(r, len(decide(shuffled)), len(findings))
+	})
+}
--- /dev/null
+++ b/internal/quarantine/report.go
@@ -0,0 +1,173 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits of what a report holds, so that a heartbeat stays small.
+const (
+	// reportedFor is how long a crash is repeated in reports: a VM that has missed some, or has
+	// just started, still learns it.
+	reportedFor        = 10 * time.Second
+	maxReportedCrashes = 24
+	maxReportedServed  = 64
+)
+
+// Report is what a VM tells the others. Times are ages in milliseconds, because clocks of VMs
+// differ. It holds only what the VM has seen itself, except for verdicts: ages that are passed
+// on several times would drift.
+type Report struct {
+	Crashes []CrashReport   `msgpack:"c,omitempty"`
+	Served  []ServedReport  `msgpack:"s,omitempty"`
+	Parts   []VerdictReport `msgpack:"q,omitempty"`
+}
+
+// CrashReport is the wire format of a Crash.
+type CrashReport struct {
+	ID      uint64   `msgpack:"i"`
+	Target  string   `msgpack:"t"`
+	Request string   `msgpack:"r"`
+	OwnPart string   `msgpack:"o"`
+	Parts   []string `msgpack:"p"`
+	AgeMs   int64    `msgpack:"a"`
+}
+
+// ServedReport tells when the latest answer began that was served with a suspected part.
+type ServedReport struct {
+	Part  string `msgpack:"p"`
+	AgeMs int64  `msgpack:"a"`
+}
+
+// VerdictReport is the wire format of a Verdict.
+type VerdictReport struct {
+	Part           string `msgpack:"p"`
+	Crashes        int    `msgpack:"n"`
+	LastCrashAgeMs int64  `msgpack:"a"`
+	ServedBefore   bool   `msgpack:"s,omitempty"`
+}
+
+// Report returns what the other VMs must know; nil if there is nothing.
+func (d *Detector) Report(now time.Time) *Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.crashes) == 0 && len(d.verdicts) == 0 {
+		return nil
+	}
+	r := &Report{}
+	for _, c := range slices.Backward(d.crashes) {
+		if len(r.Crashes) == maxReportedCrashes {
+			break
+		}
+		if d.known[c.ID] && now.Sub(c.At) < reportedFor {
+			r.Crashes = append(r.Crashes, CrashReport{ID: c.ID, Target: c.Target, Request: c.Request, OwnPart: c.OwnPart, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
+		}
+	}
+	r.Served = d.servedSuspects(now)
+	for _, v := range d.verdicts {
+		if v.state == active {
+			r.Parts = append(r.Parts, VerdictReport{Part: v.Part, Crashes: v.Crashes, LastCrashAgeMs: now.Sub(v.LastCrash).Milliseconds(), ServedBefore: v.servedBefore})
+		}
+	}
+	if len(r.Crashes)+len(r.Served)+len(r.Parts) == 0 {
+		return nil
+	}
+	return r
+}
+
+// servedSuspects returns what this VM has served of the parts that recent crashes and
+// quarantines concern. d.mu must be held.
+func (d *Detector) servedSuspects(now time.Time) []ServedReport {
+	var reports []ServedReport
+	told := map[string]bool{}
+	tell := func(part string) {
+		at, ok := d.servedHere[part]
+		if ok && !told[part] && len(reports) < maxReportedServed {
+			told[part] = true
+			reports = append(reports, ServedReport{Part: part, AgeMs: now.Sub(at).Milliseconds()})
+		}
+	}
+	for part := range d.verdicts {
+		tell(part)
+	}
+	for _, c := range slices.Backward(d.crashes) {
+		if now.Sub(c.At) > reportedFor {
+			continue
+		}
+		for _, part := range c.Parts {
+			tell(part)
+		}
+		tell(c.OwnPart)
+	}
+	return reports
+}
+
+// Merge adds what another VM reported.
+func (d *Detector) Merge(r *Report, now time.Time) {
+	d.mu.Lock()
+	news := false
+	for _, s := range r.Served {
+		d.mergeServed(s.Part, now.Add(-age(s.AgeMs)))
+	}
+	decide := false
+	for _, reported := range r.Crashes[:min(len(r.Crashes), maxReportedCrashes)] {
+		c := Crash{ID: reported.ID, Target: reported.Target, Request: reported.Request, OwnPart: reported.OwnPart, Parts: reported.Parts[:min(len(reported.Parts), maxPartsPerCrash)], At: now.Add(-age(reported.AgeMs))}
+		if d.addCrash(c, false) {
+			news = news || d.servedAnyOf(c)
+			decide = decide || d.mayCondemn(c)
+		}
+	}
+	condemned := d.mergeVerdicts(r.Parts, now)
+	if decide {
+		condemned = append(condemned, d.decide(now)...)
+	}
+	d.mu.Unlock()
+	d.announce(condemned, news)
+}
+
+// age converts an age of a report, which must not lie in the future.
+func age(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
+
+// servedAnyOf reports whether this VM has served a part of a crash, which is
+// news for the other VMs. d.mu must be held.
+func (d *Detector) servedAnyOf(c Crash) bool {
+	_, ownPart := d.servedHere[c.OwnPart]
+	return ownPart || slices.ContainsFunc(c.Parts, func(part string) bool {
+		_, ok := d.servedHere[part]
+		return ok
+	})
+}
+
+// mergeServed records that a part was served at another VM. d.mu must be held.
+func (d *Detector) mergeServed(part string, began time.Time) {
+	if _, known := d.servedElsewhere[part]; !known && len(d.servedElsewhere) >= maxServed {
+		return
+	}
+	d.clear(part, began)
+	d.servedElsewhere[part] = latest(d.servedElsewhere[part], began)
+}
+
+// mergeVerdicts adopts the quarantines that another VM reports, except of parts that were
+// served since. It returns the new ones. d.mu must be held.
+func (d *Detector) mergeVerdicts(reports []VerdictReport, now time.Time) []string {
+	var condemned []string
+	for _, r := range reports[:min(len(reports), maxQuarantines)] {
+		v := &Verdict{Part: r.Part, Crashes: r.Crashes, Since: now, LastCrash: now.Add(-age(r.LastCrashAgeMs)), servedBefore: r.ServedBefore}
+		v.Until = v.LastCrash.Add(v.term())
+		if !now.Before(v.Until) || d.lastServed(r.Part).After(v.LastCrash) || !newerThan(v, d.verdicts[r.Part]) {
+			continue
+		}
+		d.makeRoom()
+		d.verdicts[r.Part] = v
+		condemned = append(condemned, r.Part)
+		d.log.Warn("prompt part quarantined", "part", r.Part, "crashes", r.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond),
+			"served_before", r.ServedBefore, "for", v.Until.Sub(now).Round(time.Second), "heard_from_peer", true)
+	}
+	return condemned
+}
+
+// newerThan reports whether a reported quarantine is not known yet, or rests on a crash after
+// the end of the known one.
+func newerThan(v, known *Verdict) bool {
+	return known == nil || known.state != active && v.LastCrash.Sub(known.LastCrash) > sameCrashWindow
+}
