Quarantine: decide on the evidence of all VMs, and on parts sound earlier

A VM had two of its requests at two crashes and decided 0.1 ms before the VM that had the culprit at the second target told of it. A crash counts after 25 ms now; the repeats of requests that were there wait for that, 100 ms at most if the probe of the target hangs.

A part that was served earlier needed four prompts, which callers' second tries make slow to come. It needs three now, or four crashes under three requests, at least 2 s after the first, and other requests must have been served meanwhile: when nothing is, the targets fail for another reason, and a common part must not be refused for it.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -25,6 +25,8 @@
 	crashProbeTTL = 50 * time.Millisecond
 	// crashProbeTries is 2 so that a lost packet is not taken for a crash.
 	crashProbeTries = 2
+	// evidenceTimeout bounds how long a repeat waits for the evidence of its first attempt.
+	evidenceTimeout = 100 * time.Millisecond
 )
 
 // errQuarantined ends an attempt before its first event, because a part of its prompt was
@@ -60,12 +62,14 @@
 	h.observed.add(a)
 	defer h.observed.remove(a)
 	o, err := h.send(ctx, c, d)
-	h.recordEvidence(a, o, err)
+	h.recordEvidence(ctx, a, o, err)
 	return o, err
 }
 
 // recordEvidence records whether an attempt that has ended was served, or its target crashed.
-func (h *Handler) recordEvidence(a *observedAttempt, o outcome, err error) {
+// In the latter case it waits a moment for the decision, so that the repeat of a request that
+// crashes targets is not sent.
+func (h *Handler) recordEvidence(ctx context.Context, a *observedAttempt, o outcome, err error) {
 	now := time.Now()
 	began, writing := a.d.running.FirstEventAt()
 	switch {
@@ -76,12 +80,33 @@
 		h.recordServed(a, began)
 	case writing && now.Sub(began) >= crashWindow:
 		h.recordServedLong(a, now)
-	case o == outcomeUnknown && connectionBroke(err) && h.crashed(a.d.target):
-		h.Metrics.CountTargetCrash()
-		h.Log.Warn("target crashed under a request that it had not answered", "request", a.c.meta.ID, "target", a.d.target.ID, "zone", a.d.target.Zone,
-			"parts", a.c.meta.SharedParts, "own_part", a.c.meta.OwnPart, "since_placement", now.Sub(a.d.running.StartedAt()).Round(time.Millisecond), "first_event", writing, "error", err)
-		h.Quarantine.RecordCrash(a.d.target.ID, a.c.meta.ID, a.c.meta.OwnPart, a.c.meta.SharedParts, now)
+	case o == outcomeUnknown && connectionBroke(err):
+		decided := make(chan struct{})
+		go func() {
+			defer close(decided)
+			h.recordCrash(a, now, err)
+		}()
+		select {
+		case <-decided:
+		case <-time.After(evidenceTimeout):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// recordCrash records that the target of an attempt, whose connection broke at the given time,
+// has crashed. It returns when a decision on the evidence of all VMs has been made.
+func (h *Handler) recordCrash(a *observedAttempt, at time.Time, err error) {
+	if !h.crashed(a.d.target) {
+		return
 	}
+	_, writing := a.d.running.FirstEventAt()
+	h.Metrics.CountTargetCrash()
+	h.Log.Warn("target crashed under a request that it had not answered", "request", a.c.meta.ID, "target", a.d.target.ID, "zone", a.d.target.Zone,
+		"parts", a.c.meta.SharedParts, "own_part", a.c.meta.OwnPart, "since_placement", at.Sub(a.d.running.StartedAt()).Round(time.Millisecond), "first_event", writing, "error", err)
+	h.Quarantine.RecordCrash(a.d.target.ID, a.c.meta.ID, a.c.meta.OwnPart, a.c.meta.SharedParts, at)
+	time.Sleep(quarantine.SettleTime)
+	h.Quarantine.Decide(time.Now())
 }
 
 // recordServed records that a target serves the parts of an attempt. It does so once.
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -23,14 +23,21 @@
 	tiedPrompts     = 3
 	newPartCrashes  = 3
 	newPartRequests = 2
-	// knownPartPrompts condemns a part of which requests were served before. servedDelay is the
-	// least time since the first of these events: a served request is known after survivalTime
-	// and a heartbeat.
-	knownPartPrompts = 4
-	servedDelay      = 2 * time.Second
-	// settleTime is how long a decision waits for what other VMs have served, if it rests on
+	// knownPartPrompts, or knownPartCrashes under knownPartRequests, condemn a part of which
+	// requests were served before. servedDelay is the least time since the first of these events:
+	// a served request is known after SurvivalTime and a heartbeat. Meanwhile minServed requests
+	// without the part must have been served: otherwise the targets fail for another reason.
+	knownPartPrompts  = 3
+	knownPartCrashes  = 4
+	knownPartRequests = 3
+	servedDelay       = 2 * time.Second
+	minServed         = 3
+	// SettleTime is the time after a crash until it counts: other VMs, whose requests were there
+	// too, tell of them meanwhile.
+	SettleTime = 25 * time.Millisecond
+	// answerTime is how long a decision waits for what other VMs have served, if it rests on
 	// crashes about which they no longer tell this without being asked.
-	settleTime = 300 * time.Millisecond
+	answerTime = 300 * time.Millisecond
 )
 
 // Crash records that a target crashed while it held a request of which it had not answered
@@ -63,6 +70,8 @@
 	// experienced is true if enough requests were served to tell a new part from one whose
 	// requests this VM has not seen yet.
 	experienced bool
+	// recent are the times at which the answers began that this VM has served last.
+	recent []time.Time
 }
 
 // event is the crash of one target, with the requests that it held.
@@ -95,7 +104,9 @@
 // against the others that were there.
 func decide(s snapshot) []Finding {
 	var findings []Finding
-	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool { return e.explained(s.explains) })
+	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool {
+		return s.now.Sub(e.at) < SettleTime || e.explained(s.explains)
+	})
 	for {
 		best, ok := mostConspicuous(s, events)
 		if !ok {
@@ -157,7 +168,7 @@
 		}
 	}
 	for _, f := range candidates {
-		if f.Prompts >= knownPartPrompts && s.now.Sub(f.First) >= servedDelay {
+		if knownPartCondemned(s, f) {
 			return f, true
 		}
 	}
@@ -235,12 +246,27 @@
 // least evidence it must be the only explanation.
 func newPartCondemned(s snapshot, f Finding) bool {
 	enough := f.Prompts >= newPartPrompts || f.Separate >= newPartCrashes && f.Requests >= newPartRequests
-	if !enough || s.now.Sub(f.First) > reportedFor && s.now.Sub(f.Last) < settleTime {
+	if !enough || s.now.Sub(f.First) > reportedFor && s.now.Sub(f.Last) < answerTime {
 		return false
 	}
 	return f.Prompts >= tiedPrompts || !otherExplanation(s, f)
 }
 
+// knownPartCondemned reports whether a part that may have been sound earlier must be quarantined.
+func knownPartCondemned(s snapshot, f Finding) bool {
+	enough := f.Prompts >= knownPartPrompts || f.Separate >= knownPartCrashes && f.Requests >= knownPartRequests
+	if !enough || s.now.Sub(f.First) < servedDelay {
+		return false
+	}
+	served := 0
+	for _, at := range s.recent {
+		if at.After(f.First) {
+			served++
+		}
+	}
+	return served >= minServed
+}
+
 // otherExplanation reports whether another part that was never served, or a prompt without the
 // part that was not served since, was present at all crashes of a finding.
 func otherExplanation(s snapshot, f Finding) bool {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -80,27 +80,23 @@
 	crashes []Crash // of all VMs, in order of arrival
 	// known holds the ids of the crashes, and whether this VM recorded them.
 	known map[uint64]bool
-	// suspects holds the shared and own parts of the crashes.
-	suspects map[string]suspicion
+	// undecided is true if there is evidence on which no decision was made after SettleTime.
+	undecided bool
+	// suspects holds the shared and own parts of the crashes, with the time of the latest one.
+	suspects map[string]time.Time
 	// servedHere and servedElsewhere hold when the latest answer with a shared or own part began.
 	// The latter has entries of suspects only.
 	servedHere      map[string]time.Time
 	servedElsewhere map[string]time.Time
 	servedCount     int
-	verdicts        map[string]*Verdict
-}
-
-// suspicion summarizes the crashes at which a part was present.
-type suspicion struct {
-	lastCrash time.Time
-	target    string
-	// several is true if different targets crashed.
-	several bool
+	// recent are the times at which the last minServed answers began that this VM served.
+	recent   []time.Time
+	verdicts map[string]*Verdict
 }
 
 // New returns a Detector without evidence.
 func New(log *slog.Logger) *Detector {
-	return &Detector{log: log, known: map[uint64]bool{}, suspects: map[string]suspicion{}, servedHere: map[string]time.Time{}, servedElsewhere: map[string]time.Time{}, verdicts: map[string]*Verdict{}}
+	return &Detector{log: log, known: map[uint64]bool{}, suspects: map[string]time.Time{}, servedHere: map[string]time.Time{}, servedElsewhere: map[string]time.Time{}, verdicts: map[string]*Verdict{}}
 }
 
 // Check returns the quarantine that forbids to send a request with these parts, if any.
@@ -129,17 +125,25 @@
 }
 
 // RecordCrash records that a target crashed while this VM had a request there that was not
-// answered yet.
+// answered yet. Decide must be called SettleTime later.
 func (d *Detector) RecordCrash(target, request, ownPart string, parts []string, now time.Time) {
 	d.mu.Lock()
 	c := Crash{ID: rand.Uint64(), Target: target, Request: request, OwnPart: ownPart, Parts: d.mostSuspicious(parts), At: now}
 	added := d.addCrash(c, true)
+	d.mu.Unlock()
+	d.announce(nil, added)
+}
+
+// Decide quarantines the parts that the evidence condemns, if there is new evidence. It is
+// called SettleTime after a crash.
+func (d *Detector) Decide(now time.Time) {
+	d.mu.Lock()
 	var condemned []string
-	if added && d.mayCondemn(c) {
+	if d.undecided {
 		condemned = d.decide(now)
 	}
 	d.mu.Unlock()
-	d.announce(condemned, added)
+	d.announce(condemned, false)
 }
 
 // mostSuspicious returns the parts to record of a crash: all, or if there are too many, those
@@ -173,6 +177,7 @@
 	}
 	d.crashes = append(d.crashes, c)
 	d.known[c.ID] = own
+	d.undecided = true
 	d.suspect(c)
 	for _, part := range c.Parts {
 		if v := d.verdicts[part]; v != nil && v.state == active && c.At.After(v.LastCrash) {
@@ -188,27 +193,16 @@
 // suspect adds the parts of a crash to the suspects. d.mu must be held.
 func (d *Detector) suspect(c Crash) {
 	for _, part := range append(slices.Clone(c.Parts), c.OwnPart) {
-		s, known := d.suspects[part]
-		s.several = s.several || known && s.target != c.Target
-		s.lastCrash, s.target = latest(s.lastCrash, c.At), c.Target
-		d.suspects[part] = s
+		d.suspects[part] = latest(d.suspects[part], c.At)
 	}
 }
 
-// mayCondemn reports whether a new crash can lead to a decision at once. Decisions on parts that
-// were served before are left to Tick. d.mu must be held.
-func (d *Detector) mayCondemn(c Crash) bool {
-	return slices.ContainsFunc(c.Parts, func(part string) bool {
-		v := d.verdicts[part]
-		return v != nil && v.state == lapsed || d.suspects[part].several && d.lastServed(part).IsZero()
-	})
-}
-
 // RecordServed records that requests with these parts are served: a target began its answer
 // at the given time and completed it, or went on writing for SurvivalTime.
 func (d *Detector) RecordServed(ownPart string, parts []string, began time.Time) {
 	d.mu.Lock()
 	d.servedCount++
+	d.recent = append(d.recent[max(len(d.recent)-minServed+1, 0):], began)
 	cleared := false
 	for _, part := range parts {
 		cleared = d.clear(part, began) || cleared
@@ -227,8 +221,8 @@
 // clear ends the quarantine of a part that was served after its last crash. It reports whether
 // this is news for the other VMs: the part was a suspect until now. d.mu must be held.
 func (d *Detector) clear(part string, served time.Time) bool {
-	suspicion, suspected := d.suspects[part]
-	news := suspected && served.After(suspicion.lastCrash) && !d.lastServed(part).After(suspicion.lastCrash)
+	crash, suspected := d.suspects[part]
+	news := suspected && served.After(crash) && !d.lastServed(part).After(crash)
 	v := d.verdicts[part]
 	if v == nil || v.state == cleared || !served.After(v.LastCrash) {
 		return news
@@ -288,7 +282,7 @@
 	}
 	d.forgetCrashes(now)
 	var condemned []string
-	if len(d.crashes) > 0 && now.Sub(d.crashes[len(d.crashes)-1].At) < decisionTime {
+	if d.undecided || len(d.crashes) > 0 && now.Sub(d.crashes[len(d.crashes)-1].At) < decisionTime {
 		condemned = d.decide(now)
 	}
 	d.mu.Unlock()
@@ -322,6 +316,7 @@
 
 // decide quarantines the parts that the evidence condemns and returns them. d.mu must be held.
 func (d *Detector) decide(now time.Time) []string {
+	d.undecided = slices.ContainsFunc(d.crashes, func(c Crash) bool { return now.Sub(c.At) < SettleTime })
 	var condemned []string
 	for _, f := range decide(d.snapshot(now)) {
 		v := d.verdicts[f.Part]
@@ -341,7 +336,7 @@
 }
 
 func (d *Detector) snapshot(now time.Time) snapshot {
-	s := snapshot{now: now, crashes: d.crashes, served: map[string]time.Time{}, condemned: map[string]bool{}, lapsed: map[string]time.Time{}, experienced: d.servedCount >= minExperience}
+	s := snapshot{now: now, crashes: d.crashes, served: map[string]time.Time{}, condemned: map[string]bool{}, lapsed: map[string]time.Time{}, experienced: d.servedCount >= minExperience, recent: d.recent}
 	for _, c := range d.crashes {
 		for _, part := range append(slices.Clone(c.Parts), c.OwnPart) {
 			if at := d.lastServed(part); !at.IsZero() {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -109,18 +109,13 @@
 	for _, s := range r.Served {
 		d.mergeServed(s.Part, now.Add(-age(s.AgeMs)))
 	}
-	decide := false
 	for _, reported := range r.Crashes[:min(len(r.Crashes), maxReportedCrashes)] {
 		c := Crash{ID: reported.ID, Target: reported.Target, Request: reported.Request, OwnPart: reported.OwnPart, Parts: reported.Parts[:min(len(reported.Parts), maxPartsPerCrash)], At: now.Add(-age(reported.AgeMs))}
 		if d.addCrash(c, false) {
 			news = news || d.servedAnyOf(c)
-			decide = decide || d.mayCondemn(c)
 		}
 	}
 	condemned := d.mergeVerdicts(r.Parts, now)
-	if decide {
-		condemned = append(condemned, d.decide(now)...)
-	}
 	d.mu.Unlock()
 	d.announce(condemned, news)
 }
