A stream without framing that ends before its first event is broken off

A stream that has neither a length nor chunks and whose connection ended before its first event reached its caller as a complete, empty 200: the end of the connection looked like the end of the stream. A target that crashes then is such a case. It is broken off now: another target gets the request, or the caller 502 (or its connection aborted, once events were sent).

TestUnframedStreamThatBreaksOff/before_the_first_event failed before. The other cases passed before and are kept as tests: long, short and streamed responses that end with their connection are whole; one that ends inside an event or with a reset is resumed or aborted.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -341,6 +341,9 @@
 	events := sse.NewRawReader(e.Body)
 	for {
 		event, err := events.Next()
+		if _, begun := running.FirstEventAt(); errors.Is(err, io.EOF) && !begun && e.EndsWithConnection() {
+			err = io.ErrUnexpectedEOF // a stream has an event at least
+		}
 		if errors.Is(err, io.EOF) {
 			e.Complete()
 			if !c.caller.headerSent {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -243,8 +243,13 @@
 	default:
 		return false
 	}
-	return e.conn.writeErr == nil && !e.Response.Close && e.conn.reader.Buffered() == 0 &&
-		(e.ContentLength >= 0 || len(e.TransferEncoding) > 0)
+	return e.conn.writeErr == nil && !e.Response.Close && e.conn.reader.Buffered() == 0 && !e.EndsWithConnection()
+}
+
+// EndsWithConnection reports whether the response has neither a length nor chunks: only the end
+// of its connection ends it.
+func (e *Exchange) EndsWithConnection() bool {
+	return e.ContentLength < 0 && len(e.TransferEncoding) == 0
 }
 
 // Close ends the exchange. If it is not complete, the connection is closed, which makes the
