Bound what a heartbeat tells of crashed targets

Long ids of parts could make a heartbeat larger than a datagram; it would not be sent at all, with the requests in flight in it. Reported crashes hold 8 KiB of names at most, and a heartbeat that is still too large goes without them.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -270,10 +270,22 @@
 	if m.statusDue.Swap(false) {
 		h.Status = m.status()
 	}
+	return m.marshal(h)
+}
+
+// marshal encodes a heartbeat. One that would be too large is sent without quarantined parts.
+func (m *Mesh) marshal(h heartbeat) ([]byte, error) {
 	data, err := msgpack.Marshal(h)
 	if err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
+	if len(data) > maxDatagramBytes && h.Status != nil && h.Status.Quarantine != nil {
+		m.log.Warn("heartbeat sent without quarantined parts: it is too large", "bytes", len(data))
+		h.Status.Quarantine = nil
+		if data, err = msgpack.Marshal(h); err != nil {
+			return nil, fmt.Errorf("encode heartbeat: %w", err)
+		}
+	}
 	if len(data) > maxDatagramBytes {
 		return nil, fmt.Errorf("heartbeat has %d bytes, more than the limit of %d", len(data), maxDatagramBytes)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
@@ -28,6 +31,8 @@
 	registry *inflight.Registry
 	replica  *replica.Replica
 	address  string
+	// quarantine is told to the other VMs.
+	quarantine *quarantine.Detector
 	// freshness is that of the replica.
 	freshness confirmedAt
 }
@@ -53,7 +58,7 @@
 func start(t *testing.T, name string) *node {
 	links, err := tcp.ReserveLoopbackAddress()
 	assert.NilError(t, err)
-	n := &node{registry: inflight.New(), replica: replica.New("t"), address: strings.Replace(links, "127.0.0.1", "127.0.0.3", 1)}
+	n := &node{quarantine: quarantine.New(slog.New(slog.DiscardHandler)), registry: inflight.New(), replica: replica.New("t"), address: strings.Replace(links, "127.0.0.1", "127.0.0.3", 1)}
 	n.mesh, err = New(Options{
 		Self: Self{Name: name, Zone: "z", HeartbeatAddress: n.address, LinkAddress: links},
 		Log:  slog.New(slog.NewTextHandler(io.Discard, nil)), Registry: n.registry, Replicas: []*replica.Replica{n.replica},
@@ -62,7 +67,7 @@
 		LastStoreContact: func() time.Time { return time.Time{} },
 		StoreUnreachable: func() bool { return false },
 		Reachability:     allReachable{},
-		Quarantine:       quarantine.New(slog.New(slog.DiscardHandler)),
+		Quarantine:       n.quarantine,
 		Confirmed:        n.freshness.Confirmed,
 		Confirm: func(_ string, version uint64, storeTime time.Duration) {
 			if n.replica.Position() >= version {
@@ -195,3 +200,46 @@
 		return ok && at == 7*time.Second
 	})
 }
+
+// Guards against a quarantine that stays on one VM.
+func TestQuarantineSpreads(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	a.quarantine.OnEvidence = a.mesh.ScheduleStatusHeartbeat
+	a.mesh.AddPeer(b.address)
+	eventually(t, "both VMs are live", func() bool { return a.mesh.Status().LiveVMs == 2 && b.mesh.Status().LiveVMs == 2 })
+	now := time.Now()
+	for n := range 20 {
+		a.quarantine.RecordServed(strconv.Itoa(n), []string{"f"}, now)
+	}
+	a.quarantine.RecordCrash("e1", "r1", "o1", []string{"f", "x"}, now.Add(-time.Second))
+	a.quarantine.RecordCrash("e2", "r2", "o2", []string{"f", "x"}, now.Add(-100*time.Millisecond))
+	a.quarantine.Decide(now)
+	eventually(t, "b refuses the part", func() bool {
+		_, found := b.quarantine.Check([]string{"x"}, time.Now())
+		return found
+	})
+}
+
+// Guards against a heartbeat that is not sent at all because quarantined parts make it too large.
+func TestLargeHeartbeatOmitsQuarantine(t *testing.T) {
+	a := start(t, "a")
+	large := heartbeat{Status: &status{Quarantine: &quarantine.Report{Crashes: []quarantine.CrashReport{{Parts: manyParts(200)}}}}}
+	for range 500 {
+		large.Jobs = append(large.Jobs, requestMessage{Target: strings.Repeat("e", 80)})
+	}
+	data, err := a.mesh.marshal(large)
+	assert.NilError(t, err)
+	var h heartbeat
+	assert.NilError(t, msgpack.Unmarshal(data, &h))
+	assert.Equal(t, len(h.Jobs), 500)
+	assert.Assert(t, h.Status != nil && h.Status.Quarantine == nil)
+}
+
+// manyParts returns n long ids of parts.
+func manyParts(n int) []string {
+	parts := make([]string, 0, n)
+	for i := range n {
+		parts = append(parts, fmt.Sprintf("%064d", i))
+	}
+	return parts
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -179,7 +179,7 @@
 	assert.Assert(t, len(d.suspects) <= maxCrashes*(maxPartsPerCrash+1))
 	data, err := msgpack.Marshal(d.Report(at(3000)))
 	assert.NilError(t, err)
-	assert.Assert(t, len(data) < 45<<10, "%d bytes", len(data))
+	assert.Assert(t, len(data) < 20<<10, "%d bytes", len(data))
 
 	r := &Report{}
 	for n := range 10_000 {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -12,6 +12,8 @@
 	reportedFor        = 10 * time.Second
 	maxReportedCrashes = 24
 	maxReportedServed  = 64
+	// maxReportedBytes bounds the names in the reported crashes.
+	maxReportedBytes = 8 << 10
 )
 
 // Report is what a VM tells the others. Times are ages in milliseconds, because clocks of VMs
@@ -55,11 +57,13 @@
 		return nil
 	}
 	r := &Report{}
+	size := 0
 	for _, c := range slices.Backward(d.crashes) {
-		if len(r.Crashes) == maxReportedCrashes {
-			break
-		}
 		if d.known[c.ID] && now.Sub(c.At) < reportedFor {
+			size += c.size()
+			if len(r.Crashes) == maxReportedCrashes || size > maxReportedBytes {
+				break
+			}
 			r.Crashes = append(r.Crashes, CrashReport{ID: c.ID, Target: c.Target, Request: c.Request, OwnPart: c.OwnPart, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
 		}
 	}
@@ -75,6 +79,15 @@
 	return r
 }
 
+// size returns the number of bytes of the names in a crash.
+func (c *Crash) size() int {
+	size := len(c.Target) + len(c.Request) + len(c.OwnPart)
+	for _, part := range c.Parts {
+		size += len(part)
+	}
+	return size
+}
+
 // servedSuspects returns what this VM has served of the parts that recent crashes and
 // quarantines concern. d.mu must be held.
 func (d *Detector) servedSuspects(now time.Time) []ServedReport {
