An attempt ended by a quarantine is no failure of its target

When a part is quarantined, attempts that wait for their first event are ended. If the target had sent its head already, it then counted as unreachable for 0.3 s or more on that VM. Found by reading.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -199,7 +199,9 @@
 	info := h.Protocol.ParseResponse(e.StatusCode, e.Header)
 	h.recordLoad(c, d.target, info)
 	o, err := h.relay(ctx, c, d.target, e, info, running, watch)
-	h.Health.RecordOutcome(d.target.ID, o)
+	if context.Cause(ctx) != errQuarantined {
+		h.Health.RecordOutcome(d.target.ID, o)
+	}
 	return o, err
 }
 
