Merge the quarantine of parts of prompts with standby attempts

Each attempt, the first one and a standby one, is observed from its sending to its end, and its evidence is recorded before the call waits for a standby attempt. An attempt that was cancelled because another one took over, or because its target went on, is no crash.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,6 +27,8 @@
 	helpers     []string     // as they are named to the target
 	// resume is what the caller had of the response when the attempt was prepared.
 	resume progress
+	// observed is nil until the request is sent, and if its prompt has no shared parts.
+	observed *observedAttempt
 	// watch is nil for a standby attempt that has not taken over.
 	watch *watchdog
 
@@ -58,6 +60,9 @@
 	if a.watch != nil {
 		a.watch.stop()
 	}
+	if a.observed != nil {
+		a.observed.set.remove(a.observed)
+	}
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
@@ -133,6 +138,7 @@
 // can be relayed.
 func (h *Handler) request(c *call, a *attempt) (outcome, error) {
 	target := a.d.target
+	h.observe(c, a)
 	e, err := h.Pool.Do(a.ctx, target.ID, target.Address, h.buildRequest(c, a), c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
 		id := h.Protocol.ParseResponse(0, header).ID
 		return id == "" || id == c.meta.ID
@@ -184,6 +190,9 @@
 	a.events = sse.NewRawReader(a.exchange.Body)
 	var err error
 	a.firstEvent, err = a.nextEvent(a.resume.lastEventID, func([]byte) error { return nil })
+	if _, begun := a.d.running.FirstEventAt(); errors.Is(err, io.EOF) && !begun && a.exchange.EndsWithConnection() {
+		err = io.ErrUnexpectedEOF // a stream has an event at least
+	}
 	a.streamEnded = errors.Is(err, io.EOF)
 	if err != nil && !a.streamEnded {
 		return h.streamFailure(c, a, err)
@@ -265,7 +274,7 @@
 		c.failure = a.complete
 	}
 	cancelled := a.cause != nil && a.exchange == nil && o != notSent
-	if !cancelled && !errors.Is(a.cause, errWentOn) {
+	if !cancelled && !errors.Is(a.cause, errWentOn) && !errors.Is(a.cause, errQuarantined) {
 		h.Health.RecordOutcome(a.d.target.ID, o)
 	}
 }
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -79,6 +79,7 @@
 	a.watch = h.newWatchdog(a.d.target, g.start, firstEventTimeout(c, a.d))
 	o, err := h.deliver(c, a, g)
 	a.end()
+	h.recordEvidence(c, a, o, err)
 	next := g.finish(o)
 	if next != nil {
 		o = superseded
@@ -193,7 +194,7 @@
 	}
 	h.Log.Info("placed", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(), "target", d.target.ID,
 		"prompt", c.meta.PromptTokens, "answer", c.meta.OutputTokens, "left", c.remaining().Round(time.Millisecond), "reason", reason, "helpers", helpers,
-		"suspect_zones", slices.Sorted(maps.Keys(c.suspectZones)))
+		"parts", c.meta.SharedParts, "suspect_zones", slices.Sorted(maps.Keys(c.suspectZones)))
 }
 
 func targetIDs(targets []*topology.Target) []string {
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -131,6 +131,7 @@
 		o = superseded
 	}
 	a.end()
+	g.h.recordEvidence(g.c, a, o, err)
 	g.h.recordAttempt(g.c, a, o, err)
 	g.logEnd(a.d.target, o.String(), err)
 	return false
