Leaving targets: nothing is sent after an answer with Server-Leaving

Until now the header was only passed on; a target counted as leaving by its row alone.

Change: the platform package decodes the header of every response of a target (requests, commands, 421, 503) and the start of a target (born) of its row. As soon as the head of such a response is read, the target's incarnation is marked. Idle connections are closed. Releases go on, and so do renewals of reservations in use: without them the engine would cut off a running answer. If all targets of a service leave, calls are refused at once with Retry-After 1 s: when another one comes is not known. The header still goes to the caller.

Other VMs are not told.

Limit: the header does not name the incarnation that answered. If a target starts again under its id and address, and begins to leave before this VM reads the new row, the mark is taken for the earlier incarnation and ends with that row; its next answer sets it again.

--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -24,6 +24,7 @@
 type Health struct {
 	mu      sync.Mutex
 	targets map[string]*targetHealth
+	notices map[string]*notice // by target
 }
 
 type targetHealth struct {
@@ -45,7 +46,9 @@
 }
 
 // NewHealth returns a Health without recorded failures.
-func NewHealth() *Health { return &Health{targets: map[string]*targetHealth{}} }
+func NewHealth() *Health {
+	return &Health{targets: map[string]*targetHealth{}, notices: map[string]*notice{}}
+}
 
 // RecordOutcome records the outcome of an attempt.
 func (h *Health) RecordOutcome(target string, o outcome) {
@@ -222,7 +225,8 @@
 	return suspect
 }
 
-// Retain drops the entries of targets that are not in use any more.
+// Retain drops the entries of targets that are not in use any more. What a target said about
+// further requests is kept for noticeRetention.
 func (h *Health) Retain(inUse func(target string) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -231,4 +235,5 @@
 			delete(h.targets, id)
 		}
 	}
+	h.retainNotices(inUse, time.Now())
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -36,6 +36,14 @@
 	firstEvent time.Duration
 }
 
+// targets returns the target and the helpers.
+func (d *destination) targets() []*topology.Target {
+	if d.plan == nil {
+		return []*topology.Target{d.target}
+	}
+	return append([]*topology.Target{d.target}, d.plan.Helpers...)
+}
+
 // place chooses the target of the next attempt. It queues the call while no engine has
 // free capacity, as long as the request can still be served.
 func (h *Handler) place(ctx context.Context, c *call) (*destination, *refusal) {
@@ -93,7 +101,7 @@
 	available := h.excludeUnreachable(h.excludeSaturatedCold(targets, loads))
 	switch {
 	case len(targets) == 0:
-		return nil, refuseNoTarget
+		return nil, h.refuseNoCandidate(c, refuseNoTarget)
 	case len(available) == 0:
 		return nil, refuseBusy
 	case service == nil || service.Engine == nil || c.meta.PromptTokens == 0:
@@ -146,7 +154,7 @@
 	return time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
 }
 
-// candidates returns the usable targets that the call has not tried.
+// candidates returns the usable targets that the call has not tried and that accept requests.
 func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
 	return h.untriedTargets(view, c.service, c.tried)
 }
@@ -155,7 +163,7 @@
 	now := time.Now()
 	var targets []*topology.Target
 	for _, t := range view.Usable(service) {
-		if !tried[t.ID] && !h.Health.Status(t.ID, now).Replaced {
+		if !tried[t.ID] && !h.Health.Status(t.ID, now).Replaced && h.admits(t) {
 			targets = append(targets, t)
 		}
 	}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -49,6 +49,8 @@
 	FailedAddress string
 	// ColdRemaining is how long the target will remain cold.
 	ColdRemaining time.Duration
+	// Leaving is true if the target says that it is leaving.
+	Leaving bool
 	// Load is the load that the target reports; nil if it reports none. LoadError is set
 	// if the report could not be decoded.
 	Load      *TargetLoad
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -49,7 +50,7 @@
 		h: h, id: fmt.Sprintf("%s.%s.%d", c.meta.ID, h.Instance, c.reservationCount), tokens: plan.ReserveTokens,
 		targets: append([]*topology.Target{plan.Target}, plan.Helpers...), unconfirmed: map[string]bool{},
 	}
-	if err := r.reserveAll(ctx); err != nil {
+	if err := r.reserveAll(ctx, func() error { return h.admitAll(r.targets...) }); err != nil {
 		r.release()
 		return nil, err
 	}
@@ -59,12 +60,14 @@
 	return r, nil
 }
 
-// reserveAll reserves the memory on all engines, or renews the reservation.
-func (r *reservation) reserveAll(ctx context.Context) error {
+// reserveAll reserves the memory on all engines, or renews the reservation. admit is called
+// before each command is sent; it is nil for renewals, without which the engines would cut
+// off the running request.
+func (r *reservation) reserveAll(ctx context.Context, admit func() error) error {
 	errs := make(chan error, len(r.targets))
 	for _, t := range r.targets {
 		go func() {
-			errs <- r.h.sendCommand(ctx, t, r.h.Protocol.ReserveCommand(t.ID, r.id, r.tokens, reservationLease), func() { r.markUnconfirmed(ctx, t) })
+			errs <- r.h.sendCommand(ctx, t, r.h.Protocol.ReserveCommand(t.ID, r.id, r.tokens, reservationLease), admit, func() { r.markUnconfirmed(ctx, t) })
 		}()
 	}
 	var first error
@@ -90,7 +93,7 @@
 
 func (r *reservation) renew(ctx context.Context) {
 	for wait.For(ctx, renewInterval) {
-		if err := r.reserveAll(ctx); err != nil && ctx.Err() == nil {
+		if err := r.reserveAll(ctx, nil); err != nil && ctx.Err() == nil {
 			r.h.Log.Warn("reservation not renewed", "reservation", r.id, "error", err)
 		}
 	}
@@ -110,7 +113,7 @@
 func (r *reservation) releaseAt(t *topology.Target) {
 	ctx := context.Background()
 	for attempt := range releaseAttempts {
-		err := r.h.sendCommand(ctx, t, r.h.Protocol.ReleaseCommand(t.ID, r.id), func() { r.markUnconfirmed(ctx, t) })
+		err := r.h.sendCommand(ctx, t, r.h.Protocol.ReleaseCommand(t.ID, r.id), nil, func() { r.markUnconfirmed(ctx, t) })
 		r.mu.Lock()
 		unconfirmed := r.unconfirmed[t.ID]
 		r.mu.Unlock()
@@ -134,19 +137,23 @@
 	return false
 }
 
-// sendCommand sends a command to an engine. onUnconfirmed is called when the engine may
+// sendCommand sends a command to an engine, unless admit returns an error. onUnconfirmed is called when the engine may
 // have accepted it without a response.
-func (h *Handler) sendCommand(ctx context.Context, t *topology.Target, command Command, onUnconfirmed func()) error {
+func (h *Handler) sendCommand(ctx context.Context, t *topology.Target, command Command, admit func() error, onUnconfirmed func()) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	h.Metrics.CountCommand()
-	request := upstream.Request{Method: http.MethodPost, URI: command.URI, Host: t.Address, Header: command.Header, Body: command.Body}
+	request := upstream.Request{Method: http.MethodPost, URI: command.URI, Host: t.Address, Header: command.Header, Body: command.Body, BeforeSend: admit}
 	e, err := h.Pool.Do(ctx, t.ID, t.Address, request, false, func(http.Header) bool { return true })
+	if errors.Is(err, errNotAdmitted) {
+		return err
+	}
 	if err != nil {
 		onUnconfirmed()
 		return err
 	}
 	defer e.Close()
+	h.recordNotices(command.URI, t, h.Protocol.ParseResponse(e.StatusCode, e.Header))
 	body, err := io.ReadAll(io.LimitReader(e.Body, maxCommandResponse))
 	if err != nil {
 		onUnconfirmed()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -30,9 +30,10 @@
 	outcomeUnknown                    // the target may have processed the request
 	callerDisconnected                // the caller disconnected or does not read
 	noCapacity                        // memory for a split prompt could not be reserved
+	notAdmitted                       // a chosen target has stopped to accept requests before a byte was sent
 )
 
-var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room"}
+var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room", "not admitted"}
 
 // String implements fmt.Stringer.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -61,6 +62,10 @@
 			}
 			continue
 		}
+		if o == notAdmitted {
+			h.Log.Info("placed again", "request", c.meta.ID, "target", d.target.ID, "reason", err)
+			continue
+		}
 		c.tried[d.target.ID] = true
 		h.Log.Info("try ended", "request", c.meta.ID, "target", d.target.ID, "service", c.service, "outcome", o.String(),
 			"after", time.Since(c.arrived).Round(time.Millisecond), "events", c.caller.events,
@@ -139,7 +144,7 @@
 	case c.remaining() <= 0:
 		h.refuse(c, failTimeoutNotSent)
 	default:
-		h.refuse(c, refuseBusy)
+		h.refuse(c, h.refuseNoCandidate(c, refuseBusy))
 	}
 }
 
@@ -187,7 +192,9 @@
 	}
 	watch := h.newWatchdog(d.target, h.alternativeCheck(c, d.target), cancel, firstEventTimeout(c, d))
 	defer watch.stop()
-	e, err := h.Pool.Do(ctx, d.target.ID, d.target.Address, h.buildRequest(c, d.target, helpers), c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
+	request := h.buildRequest(c, d.target, helpers)
+	request.BeforeSend = func() error { return h.admitAll(d.targets()...) }
+	e, err := h.Pool.Do(ctx, d.target.ID, d.target.Address, request, c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
 		id := h.Protocol.ParseResponse(0, header).ID
 		return id == "" || id == c.meta.ID
 	})
@@ -197,6 +204,7 @@
 	defer e.Close()
 	c.attemptsSent++
 	info := h.Protocol.ParseResponse(e.StatusCode, e.Header)
+	h.recordNotices(c.meta.ID, d.target, info)
 	h.recordLoad(c, d.target, info)
 	o, err := h.relay(ctx, c, d.target, e, info, running, watch)
 	h.Health.RecordOutcome(d.target.ID, o)
@@ -247,6 +255,9 @@
 	if c.request.Context().Err() != nil {
 		return callerDisconnected, err
 	}
+	if errors.Is(err, errNotAdmitted) {
+		return notAdmitted, err
+	}
 	var failure *upstream.Error
 	if errors.As(err, &failure) && !failure.MaybeSent {
 		h.Health.RecordOutcome(target.ID, notSent)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -354,13 +354,12 @@
 		p.updateIsolation()
 		p.updateKeysUnconfirmed()
 		view := p.viewHolder.Get()
-		known := map[string]bool{}
+		known, pooled := map[string]bool{}, map[string]bool{}
 		for _, t := range view.Targets() {
-			known[t.ID] = true
+			known[t.ID], pooled[t.ID] = true, !p.health.Leaving(t)
 		}
-		inUse := func(id string) bool { return known[id] }
-		p.pool.Sweep(inUse)
-		p.health.Retain(inUse)
+		p.pool.Sweep(func(id string) bool { return pooled[id] })
+		p.health.Retain(func(id string) bool { return known[id] })
 	}
 }
 
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -146,6 +146,9 @@
 	Address string
 	Zone    string
 	Slots   int
+	// Born is the start of the target in Unix milliseconds, 0 if unknown. A target that
+	// starts again under the same ID has a later one and knows nothing of before.
+	Born int64
 	// Draining targets get no new requests.
 	Draining bool
 	// ColdUntil is the time from which the target counts as warm.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BeforeSend is called before the first byte is written; after an error nothing is sent.
+	// It may be nil.
+	BeforeSend func() error
+}
+
+func (r Request) beforeSend() error {
+	if r.BeforeSend == nil {
+		return nil
+	}
+	return r.BeforeSend()
 }
 
 // Error is a failure to get a response.
@@ -135,7 +145,7 @@
 		}
 	}
 	c.used++
-	if err := ctx.Err(); err != nil {
+	if err := errors.Join(ctx.Err(), r.beforeSend()); err != nil {
 		c.Close()
 		return nil, &Error{Address: address, Cause: err}
 	}
@@ -318,6 +328,16 @@
 	return errors.Join(err, idleErr)
 }
 
+// CloseIdle closes the idle connections to a target.
+func (p *Pool) CloseIdle(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[key] {
+		c.Close()
+	}
+	delete(p.idle, key)
+}
+
 // Sweep closes idle connections that have expired or whose target is not in use any more.
 func (p *Pool) Sweep(inUse func(key string) bool) {
 	now := time.Now()
