Connections are not used for a target's later address

Cause: idle connections were kept by the target's id alone (the comment said by address and id). The id in the request's header does not help: both processes have it.

Change: a connection notes the address that was dialed; one to another address is closed when it is taken from the pool. TestConnectionsBelongToAnAddress failed before ("first" instead of "second").

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -95,7 +95,7 @@
 	dialer *net.Dialer
 
 	mu     sync.Mutex
-	idle   map[string][]*conn // by address and target id
+	idle   map[string][]*conn // by target id
 	closed bool
 	// onDial is called for each new connection, if set.
 	onDial func()
@@ -113,6 +113,7 @@
 type conn struct {
 	net.Conn
 	key       string
+	address   string       // as dialed
 	limiter   *readLimiter // below reader
 	reader    *bufio.Reader
 	used      int
@@ -136,7 +137,7 @@
 func (p *Pool) Do(ctx context.Context, key, address string, r Request, fresh bool, matches func(http.Header) bool) (*Exchange, error) {
 	var c *conn
 	if !fresh {
-		c = p.takeIdle(key)
+		c = p.takeIdle(key, address)
 	}
 	if c == nil {
 		var err error
@@ -172,7 +173,7 @@
 		p.onDial()
 	}
 	limiter := &readLimiter{reader: raw}
-	return &conn{Conn: raw, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	return &conn{Conn: raw, key: key, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 // CanConnect reports whether an address accepts a connection.
@@ -291,8 +292,9 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
-// takeIdle returns the most recently used idle connection that is still healthy, or nil.
-func (p *Pool) takeIdle(key string) *conn {
+// takeIdle returns the most recently used idle connection that is still healthy, or nil. It
+// closes those to an earlier address of the target.
+func (p *Pool) takeIdle(key, address string) *conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[key]
@@ -303,7 +305,7 @@
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
 		p.mu.Unlock()
-		if time.Now().Before(c.idleUntil) && c.checkIdle() == nil {
+		if c.address == address && time.Now().Before(c.idleUntil) && c.checkIdle() == nil {
 			return c
 		}
 		c.Close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -97,6 +97,25 @@
 	assert.Equal(t, dialed, 3)
 }
 
+// Guards against a request that reaches the old process of a target which has started again
+// under the same id at another address, over a connection that was kept.
+func TestConnectionsBelongToAnAddress(t *testing.T) {
+	serve := func(name string) string {
+		return startTarget(t, func(c net.Conn, r *bufio.Reader, _ int) {
+			for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+				write(c, req.Header.Get("Id"), name)
+			}
+		})
+	}
+	first, second := serve("first"), serve("second")
+	p := NewPool(nil)
+	for _, c := range []struct{ address, want string }{{first, "first"}, {second, "second"}, {second, "second"}, {first, "first"}} {
+		body, err := do(t, p, c.address, "x")
+		assert.NilError(t, err)
+		assert.Equal(t, body, c.want)
+	}
+}
+
 // Guards against a late response to an earlier request that is taken for the next one.
 func TestLateAnswerIsSkipped(t *testing.T) {
 	address := startTarget(t, func(c net.Conn, r *bufio.Reader, _ int) {
