Paused targets: nothing is sent while a target's Retry-After runs

Rule (BUDGET): more than two requests reach a server from a machine between half a second after it has answered that machine 503 with Retry-After and the end of that time. Until now the header was not read: a target that turned a request away got the next one at once.

Change: the platform package decodes Retry-After of a 503 to a request or a command. A longer value extends the pause, a shorter one does not shorten it; a later start ends it.

A prompt that needs more engines than accept requests waits or is refused by the end of the pause of the last one that it needs.

Reservations of running requests are still renewed at a paused engine, each 2 s instead of 1 s: the engine cuts off a request whose memory expires, and the lease of 3.5 s must not be longer, or memory stays set aside after a VM has died. The rule counts requests, of which a command is none. Releases go on.

Other VMs are not told: the target speaks to one VM, and may accept the requests of others.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,6 +38,9 @@
 	caller  *callerWriter
 	// predictedFirstEvent is the predicted time to the first event, as of the last attempt to place the call.
 	predictedFirstEvent time.Duration
+	// untilAdmitted is how long after the last attempt to place the call enough untried
+	// targets accept requests again; 0 if they do, or if that is not known.
+	untilAdmitted time.Duration
 	// queued is true once the call has waited for a target.
 	queued bool
 	// reservationCount makes the ids of the call's reservations unique.
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -11,10 +11,12 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
 	"github.com/oriolefront/oriolefront/internal/topology"
@@ -304,3 +306,248 @@
 	cancel()
 	<-ended
 }
+
+// Guards against a pause that a shorter one shortens, one that outlasts a restart of the
+// target, and one of an earlier incarnation that counts for the next.
+func TestPauseOfTarget(t *testing.T) {
+	at := func(born int64) *topology.Target { return &topology.Target{ID: "a", Born: born} }
+	within := func(got, want time.Duration) bool { return got <= want && got > want-time.Second }
+	h := NewHealth()
+	assert.Equal(t, h.PausedFor(at(5)), time.Duration(0))
+	assert.Assert(t, h.MarkPaused(at(5), 20*time.Second))
+	assert.Assert(t, !h.MarkPaused(at(5), 10*time.Second))
+	assert.Assert(t, within(h.PausedFor(at(5)), 20*time.Second))
+	assert.Assert(t, h.MarkPaused(at(5), 30*time.Second))
+	assert.Assert(t, within(h.PausedFor(at(5)), 30*time.Second))
+	assert.Equal(t, h.PausedFor(at(6)), time.Duration(0))
+	assert.Assert(t, h.MarkPaused(at(6), time.Millisecond))
+	assert.Assert(t, !h.MarkPaused(at(5), time.Minute), "a late response of an earlier incarnation")
+	time.Sleep(2 * time.Millisecond)
+	assert.Equal(t, h.PausedFor(at(6)), time.Duration(0))
+}
+
+// Guards against a pause that is taken although it cannot be meant.
+func TestImplausiblePauseIsIgnored(t *testing.T) {
+	target := &topology.Target{ID: "a"}
+	for _, c := range []struct {
+		info ResponseInfo
+		want bool
+	}{
+		{ResponseInfo{PauseFor: maxPause}, true},
+		{ResponseInfo{PauseFor: maxPause + time.Second}, false},
+		{ResponseInfo{PauseFor: -time.Second}, false},
+		{ResponseInfo{PauseError: io.ErrUnexpectedEOF}, false},
+		{ResponseInfo{}, false},
+	} {
+		h := newNoticesHandler(target)
+		h.recordNotices("r", target, c.info)
+		assert.Equal(t, h.Health.PausedFor(target) > 0, c.want, "%+v", c.info)
+	}
+}
+
+// Guards against a wait that is told too short or too long: one for the first of several
+// pauses to end when more targets are needed, one for targets that were tried or are leaving.
+func TestAdmittedAfter(t *testing.T) {
+	for _, c := range []struct {
+		pauses []time.Duration
+		need   int
+		want   time.Duration
+	}{
+		{nil, 1, 0},
+		{[]time.Duration{5, 3, 9}, 1, 3},
+		{[]time.Duration{5, 3, 9}, 2, 5},
+		{[]time.Duration{5, 0, 9}, 1, 0},
+		{[]time.Duration{5, 0, 9}, 3, 9},
+		{[]time.Duration{5, 0, 9}, 4, 0},
+	} {
+		assert.Equal(t, admittedAfter(c.pauses, c.need), c.want, "%v, %d needed", c.pauses, c.need)
+	}
+}
+
+// Guards against a call that is refused although a pause ends in time, one that is held though
+// no pause does, and a Retry-After that is too early.
+func TestCallWaitsForPauseThatEndsInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause  time.Duration
+		tried  bool
+		served bool
+	}{
+		"ends in time":           {pause: 200 * time.Millisecond, served: true},
+		"ends too late":          {pause: 900 * time.Millisecond},
+		"ends after the timeout": {pause: time.Minute},
+		"tried already":          {pause: 200 * time.Millisecond, tried: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				targets := targetsNamed("plain", "a", "b", "c")
+				h := newNoticesHandler(targets...)
+				h.Health.MarkPaused(targets[0], c.pause)
+				h.Health.MarkPaused(targets[1], c.pause+50*time.Millisecond)
+				h.Health.MarkLeaving(targets[2])
+				call := newNoticesCall("plain", 0)
+				if c.tried {
+					call.tried["a"], call.tried["b"] = true, true
+				}
+				begin := time.Now()
+				d, f := h.place(t.Context(), call)
+				waited := time.Since(begin)
+				if c.served {
+					assert.Assert(t, d != nil, "%v", f)
+					assert.Equal(t, d.target.ID, "a")
+					assert.Assert(t, waited >= c.pause && waited < c.pause+2*placementInterval, "%v", waited)
+					return
+				}
+				assert.Equal(t, waited, time.Duration(0))
+				assert.Assert(t, f != nil, "chosen: %v", d)
+				assert.Equal(t, f.retryAfter, c.pause)
+				assert.Equal(t, f.status, http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
+
+// Guards against a call that is refused because the pause that it waits for ends between the
+// choice of candidates and the decision to go on waiting.
+func TestPauseEndsWhileCallIsPlaced(t *testing.T) {
+	h := newNoticesHandler(targetsNamed("plain", "a")...)
+	c := newNoticesCall("plain", 0)
+	f := h.refuseUntilAdmitted(c, 1, refuseNoTarget)
+	assert.Assert(t, h.mayQueue(c, f))
+	c.tried["a"] = true
+	f = h.refuseUntilAdmitted(c, 1, refuseNoTarget)
+	assert.Equal(t, f, refuseNoTarget)
+	assert.Assert(t, !h.mayQueue(c, f))
+}
+
+// Guards against a prompt that is refused as too large although the engines that it needs
+// accept requests again soon, or would suffice if none of them were leaving.
+func TestLargePromptWaitsForPausedEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := targetsNamed("engines", "a", "b")
+		h := newNoticesHandler(targets...)
+		h.Health.MarkPaused(targets[0], 300*time.Millisecond)
+		begin := time.Now()
+		d, f := h.place(t.Context(), newNoticesCall("engines", 30_000))
+		assert.Assert(t, d != nil && len(d.targets()) == 2, "%v", f)
+		assert.Assert(t, time.Since(begin) >= 300*time.Millisecond)
+		d.running.Done()
+		h.Health.MarkPaused(targets[0], 300*time.Millisecond)
+		_, f = h.place(t.Context(), newNoticesCall("engines", 70_000))
+		assert.Equal(t, f, refusePromptTooLarge)
+	})
+}
+
+// Guards against a running request that loses its memory because its engine has asked for a
+// pause, and against more renewals there than are needed.
+func TestRenewalAtPausedEngine(t *testing.T) {
+	targets := targetsNamed("engines", "a", "b")
+	h := newNoticesHandler(targets...)
+	r := &reservation{h: h, targets: targets, reservedAt: map[string]time.Time{"a": time.Now(), "b": time.Now()}}
+	assert.DeepEqual(t, r.dueTargets(), targets)
+	h.Health.MarkPaused(targets[0], time.Minute)
+	assert.DeepEqual(t, r.dueTargets(), targets[1:])
+	r.reservedAt["a"] = time.Now().Add(-pausedRenewAge)
+	assert.DeepEqual(t, r.dueTargets(), targets)
+}
+
+// noticesModel holds what the rules say of the targets in TestChoicesFollowNotices.
+type noticesModel struct {
+	h       *Handler
+	current []*topology.Target
+	earlier []*topology.Target
+	listed  []bool
+	leaving []bool
+	paused  []time.Time
+}
+
+func (m *noticesModel) publish() {
+	var listed []*topology.Target
+	for i, target := range m.current {
+		if m.listed[i] {
+			listed = append(listed, target)
+		}
+	}
+	m.h.Views.Set(topology.NewView(m.h.Views.Get().Config, listed, nil))
+	m.h.Health.Retain(func(id string) bool {
+		return slices.ContainsFunc(listed, func(t *topology.Target) bool { return t.ID == id })
+	})
+}
+
+// restart starts a target again under its id.
+func (m *noticesModel) restart(i int) {
+	next := *m.current[i]
+	next.Born++
+	m.earlier = append(m.earlier, m.current[i])
+	m.current[i], m.leaving[i], m.paused[i] = &next, false, time.Time{}
+}
+
+// admits tells by the rules alone whether a target accepts requests.
+func (m *noticesModel) admits(i int) bool {
+	return !m.leaving[i] && !time.Now().Before(m.paused[i])
+}
+
+// check fails unless exactly the targets that accept requests are candidates of a call, and a
+// destination was chosen among them if there are any.
+func (m *noticesModel) check(t *rapid.T, c *call, d *destination) {
+	free := 0
+	candidates := m.h.candidates(m.h.Views.Get(), c)
+	for i, target := range m.current {
+		admitted := m.listed[i] && m.admits(i) && !c.tried[target.ID]
+		assert.Equal(t, slices.Contains(candidates, target), admitted, target.ID)
+		if admitted {
+			free++
+			continue
+		}
+		assert.Assert(t, d == nil || !slices.Contains(d.targets(), target), "%s: leaving %v, paused until %v, now %v", target.ID, m.leaving[i], m.paused[i], time.Now())
+	}
+	assert.Equal(t, d != nil, free > 0, "%d targets accept requests", free)
+}
+
+// Guards against any sequence of answers, restarts, vanished rows and pauses after which a
+// target is chosen that is leaving or wants no requests, as target or as helper, or after
+// which one is not chosen that accepts them.
+func TestChoicesFollowNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The type hides t.Deadline, which must not be called in a bubble.
+		rapid.Check(struct{ rapid.TB }{t}, func(t *rapid.T) {
+			service := rapid.SampledFrom([]string{"plain", "engines"}).Draw(t, "service")
+			targets := targetsNamed(service, "a", "b", "c")
+			m := &noticesModel{h: newNoticesHandler(targets...), current: targets, listed: []bool{true, true, true}, leaving: make([]bool, 3), paused: make([]time.Time, 3)}
+			for range rapid.IntRange(1, 50).Draw(t, "steps") {
+				i := rapid.IntRange(0, len(targets)-1).Draw(t, "target")
+				switch rapid.IntRange(0, 6).Draw(t, "action") {
+				case 0:
+					m.leaving[i] = true
+					m.h.recordNotices("r", m.current[i], ResponseInfo{Leaving: true})
+				case 1:
+					pause := time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond
+					if until := time.Now().Add(pause); until.After(m.paused[i]) {
+						m.paused[i] = until
+					}
+					m.h.recordNotices("r", m.current[i], ResponseInfo{PauseFor: pause})
+				case 2:
+					m.restart(i)
+					m.publish()
+				case 3:
+					m.listed[i] = !m.listed[i]
+					m.publish()
+				case 4:
+					if len(m.earlier) > 0 {
+						late := rapid.SampledFrom(m.earlier).Draw(t, "earlier")
+						m.h.recordNotices("r", late, ResponseInfo{Leaving: true, PauseFor: time.Minute})
+					}
+				case 5:
+					time.Sleep(time.Duration(rapid.IntRange(0, 3000).Draw(t, "sleep")) * time.Millisecond)
+				case 6:
+					c := newNoticesCall(service, map[string]int{"plain": 0, "engines": 15_000}[service])
+					c.tried[m.current[i].ID] = rapid.Bool().Draw(t, "tried")
+					d, _ := m.h.tryPlace(c)
+					m.check(t, c, d)
+					if d != nil {
+						d.running.Done()
+					}
+				}
+			}
+		})
+	})
+}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -97,11 +97,12 @@
 	service := view.Service(c.service)
 	loads := h.Registry.Loads()
 	targets := h.candidates(view, c)
+	c.untilAdmitted = 0
 	c.suspectZones = h.Health.suspectZones(view.Usable(c.service), time.Now())
 	available := h.excludeUnreachable(h.excludeSaturatedCold(targets, loads))
 	switch {
 	case len(targets) == 0:
-		return nil, h.refuseNoCandidate(c, refuseNoTarget)
+		return nil, h.refuseUntilAdmitted(c, 1, refuseNoTarget)
 	case len(available) == 0:
 		return nil, refuseBusy
 	case service == nil || service.Engine == nil || c.meta.PromptTokens == 0:
@@ -144,7 +145,9 @@
 	case f == refuseDeferred:
 		return true
 	case f == refuseBusy:
-		return waited < time.Duration(queueObjectiveShare*float64(c.route.Objective))
+		return waited < c.maxBusyTime()
+	case c.untilAdmitted > 0:
+		return waited+c.untilAdmitted < min(c.maxBusyTime(), c.maxQueueTime())
 	}
 	return false
 }
@@ -154,6 +157,11 @@
 	return time.Duration(maxQueueShare * float64(c.deadline.Sub(c.arrived)))
 }
 
+// maxBusyTime returns how long after its arrival a call is queued while no target can take it.
+func (c *call) maxBusyTime() time.Duration {
+	return time.Duration(queueObjectiveShare * float64(c.route.Objective))
+}
+
 // candidates returns the usable targets that the call has not tried and that accept requests.
 func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
 	return h.untriedTargets(view, c.service, c.tried)
@@ -244,8 +252,8 @@
 
 // placeEngine chooses an engine, and prefill helpers for a long prompt.
 func (h *Handler) placeEngine(model *topology.EngineModel, targets []*topology.Target, loads inflight.Loads, c *call) (*destination, *refusal) {
-	if c.meta.PromptTokens+c.meta.OutputTokens > len(targets)*model.KVTokens {
-		return nil, refusePromptTooLarge
+	if tokens := c.meta.PromptTokens + c.meta.OutputTokens; tokens > len(targets)*model.KVTokens {
+		return nil, h.refuseUntilAdmitted(c, 1+(tokens-1)/max(model.KVTokens, 1), refusePromptTooLarge)
 	}
 	engines := h.engineStates(targets, loads, c.suspectZones)
 	request := placement.Request{
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -51,6 +51,10 @@
 	ColdRemaining time.Duration
 	// Leaving is true if the target says that it is leaving.
 	Leaving bool
+	// PauseFor is how long the target wants no requests, by a response that turned the
+	// request away; 0 if it does not say. PauseError is set if that could not be decoded.
+	PauseFor   time.Duration
+	PauseError error
 	// Load is the load that the target reports; nil if it reports none. LoadError is set
 	// if the report could not be decoded.
 	Load      *TargetLoad
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -20,6 +20,10 @@
 const (
 	reservationLease = 3500 * time.Millisecond
 	renewInterval    = time.Second
+	// pausedRenewAge is the age at which the reservation of a running request is renewed at an
+	// engine that has asked for a pause: as late as leaves time for one more command. Without
+	// it the engine would cut off the request.
+	pausedRenewAge = reservationLease - renewInterval - commandTimeout
 	// reserveRetryDelay is the delay after an engine had less free memory than assumed.
 	reserveRetryDelay  = 150 * time.Millisecond
 	commandTimeout     = 600 * time.Millisecond
@@ -41,6 +45,8 @@
 	// unconfirmed holds the targets that did not respond to a command: they may execute
 	// it late.
 	unconfirmed map[string]bool
+	// reservedAt is when the last confirmed command to reserve was sent to each target.
+	reservedAt map[string]time.Time
 }
 
 // reserve acquires the memory for a plan and renews it until release is called.
@@ -48,9 +54,9 @@
 	c.reservationCount++
 	r := &reservation{
 		h: h, id: fmt.Sprintf("%s.%s.%d", c.meta.ID, h.Instance, c.reservationCount), tokens: plan.ReserveTokens,
-		targets: append([]*topology.Target{plan.Target}, plan.Helpers...), unconfirmed: map[string]bool{},
+		targets: append([]*topology.Target{plan.Target}, plan.Helpers...), unconfirmed: map[string]bool{}, reservedAt: map[string]time.Time{},
 	}
-	if err := r.reserveAll(ctx, func() error { return h.admitAll(r.targets...) }); err != nil {
+	if err := r.reserveAt(ctx, r.targets, func() error { return h.admitAll(r.targets...) }); err != nil {
 		r.release()
 		return nil, err
 	}
@@ -60,18 +66,22 @@
 	return r, nil
 }
 
-// reserveAll reserves the memory on all engines, or renews the reservation. admit is called
-// before each command is sent; it is nil for renewals, without which the engines would cut
-// off the running request.
-func (r *reservation) reserveAll(ctx context.Context, admit func() error) error {
-	errs := make(chan error, len(r.targets))
-	for _, t := range r.targets {
+// reserveAt reserves the memory on engines, or renews the reservation. admit is called before
+// each command is sent; it is nil for renewals.
+func (r *reservation) reserveAt(ctx context.Context, targets []*topology.Target, admit func() error) error {
+	errs := make(chan error, len(targets))
+	for _, t := range targets {
 		go func() {
-			errs <- r.h.sendCommand(ctx, t, r.h.Protocol.ReserveCommand(t.ID, r.id, r.tokens, reservationLease), admit, func() { r.markUnconfirmed(ctx, t) })
+			sent := time.Now()
+			err := r.h.sendCommand(ctx, t, r.h.Protocol.ReserveCommand(t.ID, r.id, r.tokens, reservationLease), admit, func() { r.markUnconfirmed(ctx, t) })
+			if err == nil {
+				r.markReserved(t, sent)
+			}
+			errs <- err
 		}()
 	}
 	var first error
-	for range r.targets {
+	for range targets {
 		if err := <-errs; err != nil && first == nil {
 			first = err
 		}
@@ -91,9 +101,28 @@
 	}
 }
 
+func (r *reservation) markReserved(t *topology.Target, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reservedAt[t.ID] = sent
+}
+
+// dueTargets returns the engines at which the reservation is renewed now.
+func (r *reservation) dueTargets() []*topology.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []*topology.Target
+	for _, t := range r.targets {
+		if r.h.Health.PausedFor(t) == 0 || time.Since(r.reservedAt[t.ID]) >= pausedRenewAge {
+			due = append(due, t)
+		}
+	}
+	return due
+}
+
 func (r *reservation) renew(ctx context.Context) {
 	for wait.For(ctx, renewInterval) {
-		if err := r.reserveAll(ctx, nil); err != nil && ctx.Err() == nil {
+		if err := r.reserveAt(ctx, r.dueTargets(), nil); err != nil && ctx.Err() == nil {
 			r.h.Log.Warn("reservation not renewed", "reservation", r.id, "error", err)
 		}
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -144,7 +144,7 @@
 	case c.remaining() <= 0:
 		h.refuse(c, failTimeoutNotSent)
 	default:
-		h.refuse(c, h.refuseNoCandidate(c, refuseBusy))
+		h.refuse(c, h.refuseUntilAdmitted(c, 1, refuseBusy))
 	}
 }
 
