Replaced targets: used again after a restart at another address

Cause: the mark was kept by id alone. Change: it holds for the incarnation and the address that it was learned of, and is forgotten as before when the row vanishes.

The test of Health checks the same as before, and both ways in which the mark ends.

--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -32,7 +32,6 @@
 	updatedAt           time.Time
 	consecutiveFailures int
 	unreachableUntil    time.Time
-	replaced            bool
 	// probeSucceeded is the result of the last connection probe, at probedAt.
 	probeSucceeded bool
 	probedAt       time.Time
@@ -151,13 +150,6 @@
 	t.unknownRequests, t.loadReportedAt = n, now
 }
 
-// MarkReplaced records that the address of a target belongs to another one now.
-func (h *Health) MarkReplaced(target string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.entry(target, time.Now()).replaced = true
-}
-
 func (t *targetHealth) decayedFailureRate(now time.Time) float64 {
 	halfLives := now.Sub(t.updatedAt).Seconds() / failureHalfLife.Seconds()
 	return t.failureRate / (1 + halfLives)
@@ -171,8 +163,6 @@
 	Unreachable bool
 	// Suspect is true for a target that another VM reports as unreachable.
 	Suspect bool
-	// Replaced is true for a target whose address belongs to another one now.
-	Replaced bool
 	// UnknownRequests is the number of requests of the target beyond those that are
 	// known here, by its own recent report.
 	UnknownRequests int
@@ -186,7 +176,7 @@
 	if t == nil {
 		return HealthStatus{}
 	}
-	status := HealthStatus{FailureRate: t.decayedFailureRate(now), Unreachable: now.Before(t.unreachableUntil), Suspect: now.Before(t.suspectUntil), Replaced: t.replaced}
+	status := HealthStatus{FailureRate: t.decayedFailureRate(now), Unreachable: now.Before(t.unreachableUntil), Suspect: now.Before(t.suspectUntil)}
 	if now.Sub(t.loadReportedAt) < loadReportTTL {
 		status.UnknownRequests = t.unknownRequests
 	}
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -54,9 +54,13 @@
 	h.MarkSuspect([]string{"b"})
 	assert.Assert(t, h.Status("b", time.Now()).Suspect)
 	assert.Assert(t, !h.Status("b", time.Now().Add(peerReportTTL)).Suspect)
-	h.MarkReplaced("b")
-	assert.Assert(t, h.Status("b", time.Now()).Replaced)
+	b := &topology.Target{ID: "b", Address: "1.2.3.4:5", Born: 1}
+	h.MarkReplaced(b)
+	assert.Assert(t, h.Replaced(b))
+	assert.Assert(t, !h.Replaced(&topology.Target{ID: "b", Address: "1.2.3.4:5", Born: 2}), "started again")
+	assert.Assert(t, !h.Replaced(&topology.Target{ID: "b", Address: "1.2.3.4:6", Born: 1}), "at another address")
 	h.Retain(func(string) bool { return false })
+	assert.Assert(t, !h.Replaced(b))
 	assert.DeepEqual(t, h.Status("b", time.Now()), HealthStatus{})
 }
 
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -28,6 +28,8 @@
 	listedAt time.Time // when the target was last listed
 	// pausedUntil is the time until which the target wants no requests.
 	pausedUntil time.Time
+	// replacedAt is the address at which another target responded; "" if none did.
+	replacedAt string
 }
 
 // noticeOf returns the notice of a target. It returns nil if there is none, or if the target
@@ -67,6 +69,24 @@
 	return true
 }
 
+// MarkReplaced records that the address of a target belongs to another one now.
+func (h *Health) MarkReplaced(t *topology.Target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := h.newNotice(t, time.Now()); n != nil {
+		n.replacedAt = t.Address
+	}
+}
+
+// Replaced reports whether the address of this incarnation of a target belongs to another
+// one now.
+func (h *Health) Replaced(t *topology.Target) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := h.noticeOf(t)
+	return n != nil && n.replacedAt != "" && n.replacedAt == t.Address
+}
+
 // newNotice returns the notice of a target, which it creates if needed. It returns nil if the
 // target has given one since it started again: the response of the earlier incarnation came
 // late. h.mu must be held.
@@ -101,7 +121,8 @@
 	return max(time.Until(n.pausedUntil), 0)
 }
 
-// retainNotices drops the notices of targets that have not been listed for a long time.
+// retainNotices drops the notices of targets that have not been listed for a long time. That
+// the address of a target belongs to another one is forgotten when its row vanishes.
 // h.mu must be held.
 func (h *Health) retainNotices(listed func(target string) bool, now time.Time) {
 	for id, n := range h.notices {
@@ -110,6 +131,8 @@
 			n.listedAt = now
 		case now.Sub(n.listedAt) > noticeRetention:
 			delete(h.notices, id)
+		default:
+			n.replacedAt = ""
 		}
 	}
 }
@@ -161,12 +184,11 @@
 // refuseUntilAdmitted returns the refusal of a call that needs more targets than accept
 // requests: other, unless the targets themselves are the cause. It sets c.untilAdmitted.
 func (h *Handler) refuseUntilAdmitted(c *call, need int, other *refusal) *refusal {
-	now := time.Now()
 	leaving := 0
 	var all, untried []time.Duration
 	for _, t := range h.Views.Get().Usable(c.service) {
 		switch {
-		case h.Health.Status(t.ID, now).Replaced:
+		case h.Health.Replaced(t):
 			continue
 		case h.Health.Leaving(t):
 			leaving++
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -168,10 +168,9 @@
 }
 
 func (h *Handler) untriedTargets(view *topology.View, service string, tried map[string]bool) []*topology.Target {
-	now := time.Now()
 	var targets []*topology.Target
 	for _, t := range view.Usable(service) {
-		if !tried[t.ID] && !h.Health.Status(t.ID, now).Replaced && h.admits(t) {
+		if !tried[t.ID] && !h.Health.Replaced(t) && h.admits(t) {
 			targets = append(targets, t)
 		}
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -277,7 +277,7 @@
 			e.Complete()
 		}
 		if info.WrongTarget {
-			h.Health.MarkReplaced(target.ID)
+			h.Health.MarkReplaced(target)
 		}
 		return notRun, nil
 	}
