--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -139,7 +139,9 @@
 func (h *Handler) request(c *call, a *attempt) (outcome, error) {
 	target := a.d.target
 	h.observe(c, a)
-	e, err := h.Pool.Do(a.ctx, target.ID, target.Address, h.buildRequest(c, a), c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
+	request := h.buildRequest(c, a)
+	request.BeforeSend = func() error { return h.admitAll(a.d.targets()...) }
+	e, err := h.Pool.Do(a.ctx, target.ID, target.Address, request, c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
 		id := h.Protocol.ParseResponse(0, header).ID
 		return id == "" || id == c.meta.ID
 	})
@@ -148,6 +150,7 @@
 	}
 	a.exchange = e
 	info := h.Protocol.ParseResponse(e.StatusCode, e.Header)
+	h.recordNotices(c.meta.ID, target, info)
 	h.recordLoad(c, target, info)
 	return h.readResponse(c, a, info)
 }
@@ -158,6 +161,8 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		return callerDisconnected
+	case errors.Is(err, errNotAdmitted):
+		return notAdmitted
 	case errors.As(err, &failure) && !failure.MaybeSent:
 		return notSent
 	}
@@ -172,7 +177,7 @@
 			a.exchange.Complete()
 		}
 		if info.WrongTarget {
-			h.Health.MarkReplaced(a.d.target.ID)
+			h.Health.MarkReplaced(a.d.target)
 		}
 		return notRun, nil
 	}
@@ -267,6 +272,9 @@
 	switch o {
 	case notSent:
 		c.attemptsSent--
+	case notAdmitted:
+		c.attemptsSent--
+		delete(c.tried, a.d.target.ID)
 	case outcomeUnknown, superseded:
 		c.mayHaveRun = true
 	}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -40,6 +40,14 @@
 	firstEvent time.Duration
 }
 
+// targets returns the target and the helpers.
+func (d *destination) targets() []*topology.Target {
+	if d.plan == nil {
+		return []*topology.Target{d.target}
+	}
+	return append([]*topology.Target{d.target}, d.plan.Helpers...)
+}
+
 // place chooses the target of the next attempt. It queues the call while no engine has
 // free capacity, as long as the request can still be served.
 func (h *Handler) place(ctx context.Context, c *call) (*destination, *refusal) {
@@ -96,11 +104,12 @@
 	service := view.Service(c.service)
 	loads := h.Registry.Loads()
 	targets := h.candidates(view, c)
+	c.untilAdmitted = 0
 	c.suspectZones = h.Health.suspectZones(view.Usable(c.service), time.Now())
 	available := h.excludeUnreachable(h.excludeSaturatedCold(targets, loads))
 	switch {
 	case len(targets) == 0:
-		return nil, refuseNoTarget
+		return nil, h.refuseUntilAdmitted(c, 1, refuseNoTarget)
 	case len(available) == 0:
 		return nil, refuseBusy
 	case service == nil || service.Engine == nil || c.meta.PromptTokens == 0:
@@ -136,13 +145,27 @@
 
 // mayQueue reports whether a call that was not placed for reason f may stay queued.
 func (h *Handler) mayQueue(c *call, f *refusal) bool {
+	left := c.queueTimeLeft()
 	switch {
-	case f != refuseBusy && f != refuseDeferred || c.queueTimeLeft() <= 0:
+	case left <= 0:
 		return false
-	case f == refuseDeferred || c.progress.begun:
+	case f == refuseDeferred:
 		return true
+	case f == refuseBusy:
+		return c.busyTimeLeft() > 0
+	case c.untilAdmitted > 0:
+		return c.untilAdmitted < min(left, c.busyTimeLeft())
+	}
+	return false
+}
+
+// busyTimeLeft returns how much longer a call may be queued while no target can take it.
+func (c *call) busyTimeLeft() time.Duration {
+	if c.progress.begun {
+		return c.queueTimeLeft()
 	}
-	return time.Since(c.arrived) < time.Duration(queueObjectiveShare*float64(c.route.Objective))
+	maxBusyTime := time.Duration(queueObjectiveShare * float64(c.route.Objective))
+	return maxBusyTime - time.Since(c.arrived)
 }
 
 // queueTimeLeft returns how much longer a call may be queued. A stream that has begun cannot
@@ -160,12 +183,11 @@
 	return max(minStreamPatience, patienceObjectives*route.Objective, patienceGaps*route.MaxEventGap)
 }
 
-// candidates returns the usable targets that the call has not tried.
+// candidates returns the usable targets that the call has not tried and that accept requests.
 func (h *Handler) candidates(view *topology.View, c *call) []*topology.Target {
-	now := time.Now()
 	var targets []*topology.Target
 	for _, t := range view.Usable(c.service) {
-		if !c.tried[t.ID] && !h.Health.Status(t.ID, now).Replaced {
+		if !c.tried[t.ID] && !h.Health.Replaced(t) && h.admits(t) {
 			targets = append(targets, t)
 		}
 	}
@@ -241,8 +263,8 @@
 
 // placeEngine chooses an engine, and prefill helpers for a long prompt.
 func (h *Handler) placeEngine(model *topology.EngineModel, targets []*topology.Target, loads inflight.Loads, c *call) (*destination, *refusal) {
-	if c.meta.PromptTokens+c.meta.OutputTokens > len(targets)*model.KVTokens {
-		return nil, refusePromptTooLarge
+	if tokens := c.meta.PromptTokens + c.meta.OutputTokens; tokens > len(targets)*model.KVTokens {
+		return nil, h.refuseUntilAdmitted(c, 1+(tokens-1)/max(model.KVTokens, 1), refusePromptTooLarge)
 	}
 	engines := h.engineStates(targets, loads, c.suspectZones)
 	request := placement.Request{
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,6 +20,10 @@
 const (
 	reservationLease = 3500 * time.Millisecond
 	renewInterval    = time.Second
+	// pausedRenewAge is the age at which the reservation of a running request is renewed at an
+	// engine that has asked for a pause: as late as leaves time for one more command. Without
+	// it the engine would cut off the request.
+	pausedRenewAge = reservationLease - renewInterval - commandTimeout
 	// reserveRetryDelay is the delay after an engine had less free memory than assumed.
 	reserveRetryDelay  = 150 * time.Millisecond
 	commandTimeout     = 600 * time.Millisecond
@@ -40,6 +45,8 @@
 	// unconfirmed holds the targets that did not respond to a command: they may execute
 	// it late.
 	unconfirmed map[string]bool
+	// reservedAt is when the last confirmed command to reserve was sent to each target.
+	reservedAt map[string]time.Time
 }
 
 // reserve acquires the memory for a plan and renews it until release is called.
@@ -47,9 +54,9 @@
 	c.reservationCount++
 	r := &reservation{
 		h: h, id: fmt.Sprintf("%s.%s.%d", c.meta.ID, h.Instance, c.reservationCount), tokens: plan.ReserveTokens,
-		targets: append([]*topology.Target{plan.Target}, plan.Helpers...), unconfirmed: map[string]bool{},
+		targets: append([]*topology.Target{plan.Target}, plan.Helpers...), unconfirmed: map[string]bool{}, reservedAt: map[string]time.Time{},
 	}
-	if err := r.reserveAll(ctx); err != nil {
+	if err := r.reserveAt(ctx, r.targets, func() error { return h.admitAll(r.targets...) }); err != nil {
 		r.release()
 		return nil, err
 	}
@@ -59,16 +66,22 @@
 	return r, nil
 }
 
-// reserveAll reserves the memory on all engines, or renews the reservation.
-func (r *reservation) reserveAll(ctx context.Context) error {
-	errs := make(chan error, len(r.targets))
-	for _, t := range r.targets {
+// reserveAt reserves the memory on engines, or renews the reservation. admit is called before
+// each command is sent; it is nil for renewals.
+func (r *reservation) reserveAt(ctx context.Context, targets []*topology.Target, admit func() error) error {
+	errs := make(chan error, len(targets))
+	for _, t := range targets {
 		go func() {
-			errs <- r.h.sendCommand(ctx, t, r.h.Protocol.ReserveCommand(t.ID, r.id, r.tokens, reservationLease), func() { r.markUnconfirmed(ctx, t) })
+			sent := time.Now()
+			err := r.h.sendCommand(ctx, t, r.h.Protocol.ReserveCommand(t.ID, r.id, r.tokens, reservationLease), admit, func() { r.markUnconfirmed(ctx, t) })
+			if err == nil {
+				r.markReserved(t, sent)
+			}
+			errs <- err
 		}()
 	}
 	var first error
-	for range r.targets {
+	for range targets {
 		if err := <-errs; err != nil && first == nil {
 			first = err
 		}
@@ -87,9 +100,28 @@
 	}
 }
 
+func (r *reservation) markReserved(t *topology.Target, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reservedAt[t.ID] = sent
+}
+
+// dueTargets returns the engines at which the reservation is renewed now.
+func (r *reservation) dueTargets() []*topology.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var due []*topology.Target
+	for _, t := range r.targets {
+		if r.h.Health.PausedFor(t) == 0 || time.Since(r.reservedAt[t.ID]) >= pausedRenewAge {
+			due = append(due, t)
+		}
+	}
+	return due
+}
+
 func (r *reservation) renew(ctx context.Context) {
 	for wait.For(ctx, renewInterval) {
-		if err := r.reserveAll(ctx); err != nil && ctx.Err() == nil {
+		if err := r.reserveAt(ctx, r.dueTargets(), nil); err != nil && ctx.Err() == nil {
 			r.h.Log.Warn("reservation not renewed", "reservation", r.id, "error", err)
 		}
 	}
@@ -109,7 +141,7 @@
 func (r *reservation) releaseAt(t *topology.Target) {
 	ctx := context.Background()
 	for attempt := range releaseAttempts {
-		err := r.h.sendCommand(ctx, t, r.h.Protocol.ReleaseCommand(t.ID, r.id), func() { r.markUnconfirmed(ctx, t) })
+		err := r.h.sendCommand(ctx, t, r.h.Protocol.ReleaseCommand(t.ID, r.id), nil, func() { r.markUnconfirmed(ctx, t) })
 		r.mu.Lock()
 		unconfirmed := r.unconfirmed[t.ID]
 		r.mu.Unlock()
@@ -133,19 +165,23 @@
 	return false
 }
 
-// sendCommand sends a command to an engine. onUnconfirmed is called when the engine may
+// sendCommand sends a command to an engine, unless admit returns an error. onUnconfirmed is called when the engine may
 // have accepted it without a response.
-func (h *Handler) sendCommand(ctx context.Context, t *topology.Target, command Command, onUnconfirmed func()) error {
+func (h *Handler) sendCommand(ctx context.Context, t *topology.Target, command Command, admit func() error, onUnconfirmed func()) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	h.Metrics.CountCommand()
-	request := upstream.Request{Method: http.MethodPost, URI: command.URI, Host: t.Address, Header: command.Header, Body: command.Body}
+	request := upstream.Request{Method: http.MethodPost, URI: command.URI, Host: t.Address, Header: command.Header, Body: command.Body, BeforeSend: admit}
 	e, err := h.Pool.Do(ctx, t.ID, t.Address, request, false, func(http.Header) bool { return true })
+	if errors.Is(err, errNotAdmitted) {
+		return err
+	}
 	if err != nil {
 		onUnconfirmed()
 		return err
 	}
 	defer e.Close()
+	h.recordNotices(command.URI, t, h.Protocol.ParseResponse(e.StatusCode, e.Header))
 	body, err := io.ReadAll(io.LimitReader(e.Body, maxCommandResponse))
 	if err != nil {
 		onUnconfirmed()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -24,11 +24,12 @@
 	outcomeUnknown                    // the target may have processed the request
 	callerDisconnected                // the caller disconnected or does not read
 	noCapacity                        // memory for a split prompt could not be reserved
+	notAdmitted                       // a chosen target has stopped to accept requests before a byte was sent
 	responded                         // the response has begun and can be relayed
 	superseded                        // another attempt of the call took over
 )
 
-var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room", "responded", "superseded"}
+var outcomeNames = [...]string{"delivered", "not sent", "not run", "failed", "lost", "caller gone", "no room", "not admitted", "responded", "superseded"}
 
 // String implements fmt.Stringer.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -52,6 +53,9 @@
 			h.Metrics.ObserveRequest(c.route.Kind.String(), o, time.Since(c.arrived))
 			return
 		}
+		if o == notAdmitted {
+			continue
+		}
 		if c.noRetry = h.mayRetry(ctx, c, o); c.noRetry != retryAllowed {
 			h.finish(ctx, c, nil)
 			return
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -139,7 +139,7 @@
 
 // mayContinue reports whether another standby attempt may follow one that has failed.
 func (g *hedge) mayContinue(ctx context.Context) bool {
-	if g.c.lastOutcome != notSent {
+	if g.c.lastOutcome != notSent && g.c.lastOutcome != notAdmitted {
 		return g.h.mayStartStandby(ctx, g.c) == retryAllowed
 	}
 	if !g.c.expired(ctx) && len(g.c.tried) < maxUnreachable {
