load: a poll of cache events no longer delays the abort of a frozen target

Callers of a target that froze during a poll of its cache events waited up to 0.4 s plus a poll interval longer for another target: the load polls, of which three failures abort the attempts, ran after the cache poll in the same loop.

The cache poll runs beside the load polls now, one at a time; the poller applies its result, unless the reader was reset meanwhile.

Measured: TestCachePollDoesNotDelayTheAbort is red without the change and green with it (internal/load, -race, 5 runs).

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -347,3 +347,53 @@
 	assert.Equal(t, c.pollInterval(f), maxEjectedPollInterval)
 	assert.Assert(t, f.health.abortClosed)
 }
+
+// silentClient is the client of an engine that freezes when its cache events are polled for
+// the first time. That poll gets no response until thawed is closed.
+type silentClient struct {
+	engine.Client
+	freeze         sync.Once
+	frozen, thawed chan struct{}
+}
+
+func (c *silentClient) Load(ctx context.Context) (engine.Load, error) {
+	select {
+	case <-c.frozen:
+		<-ctx.Done()
+		return engine.Load{}, ctx.Err()
+	default:
+		return engine.Load{StartNumber: 1}, nil
+	}
+}
+
+func (c *silentClient) CacheEvents(context.Context, uint64) (engine.CacheEvents, error) {
+	c.freeze.Do(func() { close(c.frozen) })
+	<-c.thawed
+	return engine.CacheEvents{}, context.DeadlineExceeded
+}
+
+// Guards against attempts on a frozen target that are aborted late because the target froze
+// during a poll of its cache, for which the load polls waited.
+func TestCachePollDoesNotDelayTheAbort(t *testing.T) {
+	client := &silentClient{frozen: make(chan struct{}), thawed: make(chan struct{})}
+	holder := &config.Holder{}
+	holder.PublishIfNewer(declare(1, "127.0.0.1:1", false))
+	c := NewCollector(Options{
+		Config: holder, Capacity: &observer{}, Zone: "bacau",
+		Clients:      func(string) engine.Client { return client },
+		PollInterval: 40 * time.Millisecond, PollTimeout: 80 * time.Millisecond, CacheInterval: 20 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { c.Run(ctx) })
+	defer running.Wait()
+	defer close(client.thawed)
+	defer cancel()
+	r := &fixture{collector: c}
+	r.await(t, "the first report", func(x scheduler.Target) bool { return x.ReportedAt > 0 })
+	select {
+	case <-r.begin(t, 100).TargetFailed():
+	case <-time.After(2 * time.Second):
+		t.Fatal("the attempt was not aborted while the cache poll waited")
+	}
+}
--- a/internal/load/poll.go
+++ b/internal/load/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/capacity"
+	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/scheduler"
 	"github.com/oriolefront/oriolefront/internal/wait"
 )
@@ -14,25 +15,49 @@
 const maxEjectedPollInterval = time.Second
 
 // poll polls the load and the cache events of a target until the target is no
-// longer monitored.
+// longer monitored. It alone uses the target's cache reader.
 func (c *Collector) poll(f *monitoredTarget) {
 	ctx := f.ctx
 	if !wait.For(ctx, jitter(c.options.PollInterval/8)) {
 		return
 	}
+	var cachePoll <-chan cachePollResult // of the cache poll in progress, nil if there is none
+	defer func() {
+		if cachePoll != nil {
+			<-cachePoll
+		}
+	}()
 	nextCachePoll := time.Duration(0)
 	for {
 		ok := c.pollLoad(ctx, f)
-		if ok && scheduler.Now() >= nextCachePoll {
-			c.pollCache(ctx, f)
+		if ok && cachePoll == nil && scheduler.Now() >= nextCachePoll {
+			cachePoll = c.startCachePoll(ctx, f)
 			nextCachePoll = scheduler.Now() + jitter(c.options.CacheInterval)
 		}
-		if !wait.For(ctx, jitter(c.pollInterval(f))) {
+		if !c.waitForNextPoll(ctx, f, &cachePoll) {
 			return
 		}
 	}
 }
 
+// waitForNextPoll waits until the next load poll and applies the result of a cache poll that
+// ends meanwhile. It returns false if ctx ended.
+func (c *Collector) waitForNextPoll(ctx context.Context, f *monitoredTarget, cachePoll *<-chan cachePollResult) bool {
+	next := time.NewTimer(jitter(c.pollInterval(f)))
+	defer next.Stop()
+	for {
+		select {
+		case result := <-*cachePoll:
+			*cachePoll = nil
+			c.applyCachePoll(f, result)
+		case <-next.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (c *Collector) pollInterval(f *monitoredTarget) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -96,18 +121,38 @@
 	}
 }
 
-func (c *Collector) pollCache(ctx context.Context, f *monitoredTarget) {
-	if !c.acquirePollSlot(ctx) {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, c.options.PollTimeout)
-	batch, err := f.client.CacheEvents(callCtx, f.cacheReader.lastSequence)
-	cancel()
-	<-c.pollSlots
-	if err != nil {
+// cachePollResult is the result of one cache poll.
+type cachePollResult struct {
+	after uint64 // the sequence number after which events were requested
+	batch engine.CacheEvents
+	err   error
+}
+
+// startCachePoll polls the cache events of a target beside its load polls, which decide
+// when the attempts on a frozen target are aborted and must not wait for this poll.
+func (c *Collector) startCachePoll(ctx context.Context, f *monitoredTarget) <-chan cachePollResult {
+	done := make(chan cachePollResult, 1)
+	after := f.cacheReader.lastSequence
+	go func() {
+		if !c.acquirePollSlot(ctx) {
+			done <- cachePollResult{err: ctx.Err()}
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, c.options.PollTimeout)
+		batch, err := f.client.CacheEvents(callCtx, after)
+		cancel()
+		<-c.pollSlots
+		done <- cachePollResult{after: after, batch: batch, err: err}
+	}()
+	return done
+}
+
+// applyCachePoll applies the events of a cache poll, unless the reader was reset meanwhile.
+func (c *Collector) applyCachePoll(f *monitoredTarget, r cachePollResult) {
+	if r.err != nil || r.after != f.cacheReader.lastSequence {
 		return // only load polls count for the target's health
 	}
-	if f.cacheReader.apply(batch) {
+	if f.cacheReader.apply(r.batch) {
 		c.options.Log.Debug("cache events were lost; rebuilding the prefix index of the target", "target", f.name)
 	}
 }
