gateway test: tell a late response from a process without processor time

In 10 of the 11 traced runs (a copy of the test with log lines) load polls with a timeout of 400 ms returned 0.2 to 4.2 s late, mostly at both VMs of the process at once: the process got no processor time. One run shows no such delay.

The bound stays. On failure the test now prints the longest delay of a 10 ms timer beside the log of the fleet. Its buffer was read while the fleet still wrote to it (the race detector reported that on a forced failure); it is locked now.

--- a/internal/gateway/split_test.go
+++ b/internal/gateway/split_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -331,17 +332,52 @@
 	f.waitUntilIdle(t)
 }
 
+// syncBuffer is a buffer that can be read while a fleet writes to it.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// measureTimers returns a function that returns the longest delay of a timer since the call.
+// It tells a late response of the fleet from a process that got no processor time.
+func measureTimers(t *testing.T) func() time.Duration {
+	t.Helper()
+	const period = 10 * time.Millisecond
+	var longest atomic.Int64
+	go func() {
+		for t.Context().Err() == nil {
+			due := time.Now().Add(period)
+			time.Sleep(period)
+			longest.Store(max(longest.Load(), int64(time.Since(due))))
+		}
+	}()
+	return func() time.Duration { return time.Duration(longest.Load()) }
+}
+
 // Guards against short requests that wait for the full event timeout after an engine froze
 // during prefill.
 func TestFrozenEngineIsAbortedEarly(t *testing.T) {
 	t.Parallel()
-	var log bytes.Buffer
-	t.Cleanup(func() { // after the fleet has stopped: cleanups run in reverse order
+	log := &syncBuffer{}
+	longestDelay := measureTimers(t)
+	t.Cleanup(func() { // cleanups run in reverse order, so that the fleet is stopping
 		if t.Failed() {
-			t.Logf("log of the fleet:\n%s", &log)
+			t.Logf("longest delay of a timer in this process: %s; log of the fleet:\n%s", longestDelay(), log)
 		}
 	})
-	f := startSplit(t, 3, func(o *testbed.Options) { o.Log = slog.New(slog.NewTextHandler(&log, nil)) })
+	f := startSplit(t, 3, func(o *testbed.Options) { o.Log = slog.New(slog.NewTextHandler(log, nil)) })
 	result := f.send(loadgen.Request{ID: "short", Model: testbed.Model, PromptTokens: 2000, MaxTokens: 10, Timeout: 20 * time.Second})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if len(f.partEngines()) > 0 {
