Quarantine parts that came together only for requests that have all of them

Parts that were in all requests with the culprit, and were not served either, are condemned with it now: requests with all of them are refused. A part that is served leaves the quarantine; a crash without it condemns the other alone. A request that began after the first of the crashes ends a quarantine.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -45,9 +46,9 @@
 	}
 	h.Metrics.CountQuarantined()
 	h.Log.Info("request not sent: a part of its prompt is quarantined", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(),
-		"part", v.Part, "crashes", v.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond), "quarantined_for", now.Sub(v.Since).Round(time.Millisecond),
+		"parts", v.Parts, "crashes", v.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond), "quarantined_for", now.Sub(v.Since).Round(time.Millisecond),
 		"until", v.Until.Sub(now).Round(time.Second), "attempts", c.attemptsSent)
-	return &refusal{http.StatusServiceUnavailable, fmt.Sprintf("part %s of the prompt is quarantined: targets crashed under requests with it", v.Part), v.Until.Sub(now)}
+	return &refusal{http.StatusServiceUnavailable, fmt.Sprintf("part %s of the prompt is quarantined: targets crashed under requests with it", strings.Join(v.Parts, "+")), v.Until.Sub(now)}
 }
 
 // attempt sends the call to one target, and records what the result says about the parts of
@@ -131,10 +132,14 @@
 	}
 }
 
-// CancelQuarantined ends the attempts with a part of a prompt whose responses have not begun.
-func (h *Handler) CancelQuarantined(part string) {
+// CancelQuarantined ends the attempts with quarantined parts whose responses have not begun.
+func (h *Handler) CancelQuarantined() {
+	now := time.Now()
 	for _, a := range h.observed.all() {
-		if _, writing := a.d.running.FirstEventAt(); !writing && slices.Contains(a.c.meta.SharedParts, part) {
+		if _, writing := a.d.running.FirstEventAt(); writing {
+			continue
+		}
+		if _, found := h.Quarantine.Check(a.c.meta.SharedParts, now); found {
 			a.cancel(errQuarantined)
 		}
 	}
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -15,7 +15,7 @@
 	sameCrashWindow = 2 * time.Second
 	// independenceGap is the least time between events that count as independent. Targets that
 	// crash closer together have probably failed in one outage.
-	independenceGap = 100 * time.Millisecond
+	independenceGap = 30 * time.Millisecond
 	// newPartPrompts is the number of prompts with crashes that condemns a part of which no
 	// request was ever served, tiedPrompts if another explanation fits as many events. A single
 	// prompt condemns it after newPartCrashes events, if its caller has tried again.
@@ -62,11 +62,9 @@
 	// served holds for shared and own parts when the latest answer with them began that was
 	// written on without a crash. Parts that were never served are missing.
 	served map[string]time.Time
-	// condemned are the quarantined parts. They explain the crashes of their requests.
-	condemned map[string]bool
-	// lapsed are the parts whose quarantine has lapsed, with the time of that: they explain the
-	// crashes before it, and a single one after it condemns them again.
-	lapsed map[string]time.Time
+	// condemned are the quarantined combinations of parts. They explain the crashes of requests
+	// with all of their parts.
+	condemned []combination
 	// experienced is true if enough requests were served to tell a new part from one whose
 	// requests this VM has not seen yet.
 	experienced bool
@@ -74,6 +72,21 @@
 	recent []time.Time
 }
 
+// combination is one or more parts that are quarantined together: requests with all of them are
+// refused. There are several if they always came together at crashes, so that it is not known
+// which of them is the cause.
+type combination struct {
+	parts []string
+	// until is when a quarantine that has lapsed ended: it explains the crashes before, and a
+	// single one after it renews it. It is zero for one in force.
+	until time.Time
+}
+
+// in reports whether a request with the given parts has all parts of the combination.
+func (x combination) in(parts []string) bool {
+	return !slices.ContainsFunc(x.parts, func(part string) bool { return !slices.Contains(parts, part) })
+}
+
 // event is the crash of one target, with the requests that it held.
 type event struct {
 	target string
@@ -84,6 +97,8 @@
 // Finding is a part that is condemned, with the evidence.
 type Finding struct {
 	Part string
+	// With are the parts that came with it at all crashes and may be the cause instead.
+	With []string
 	// Crashes is the number of events. Separate is the number of those that are far enough apart
 	// to be independent, Prompts that of separate ones with different own parts, and Requests the
 	// number of requests.
@@ -104,31 +119,33 @@
 // against the others that were there.
 func decide(s snapshot) []Finding {
 	var findings []Finding
-	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool {
-		return s.now.Sub(e.at) < SettleTime || e.explained(s.explains)
-	})
+	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool { return s.now.Sub(e.at) < SettleTime })
+	condemned := slices.Clone(s.condemned)
 	for {
-		best, ok := mostConspicuous(s, events)
+		best, ok := mostConspicuous(s, events, condemned)
 		if !ok {
 			return findings
 		}
 		findings = append(findings, best)
-		events = slices.DeleteFunc(events, func(e *event) bool {
-			return e.explained(func(part string, _ time.Time) bool { return part == best.Part })
-		})
+		condemned = append(condemned, combination{parts: best.parts()})
 	}
 }
 
-// explains reports whether an earlier decision explains a crash by a part.
-func (s *snapshot) explains(part string, at time.Time) bool {
-	lapsed, ok := s.lapsed[part]
-	return s.condemned[part] || ok && !at.After(lapsed)
+// parts returns the combination of parts that the finding condemns, in a fixed order.
+func (f Finding) parts() []string {
+	parts := append([]string{f.Part}, f.With...)
+	slices.Sort(parts)
+	return parts
 }
 
-// explained reports whether a part of a request that was there explains the event.
-func (e *event) explained(by func(part string, at time.Time) bool) bool {
-	return slices.ContainsFunc(e.held, func(c Crash) bool {
-		return slices.ContainsFunc(c.Parts, func(part string) bool { return by(part, e.at) })
+// explained reports whether a condemned combination explains the event, so that it is no
+// evidence against a part. One of several parts is no excuse for each of them.
+func (e *event) explained(condemned []combination, part string) bool {
+	return slices.ContainsFunc(condemned, func(x combination) bool {
+		if !x.until.IsZero() && e.at.After(x.until) || len(x.parts) > 1 && slices.Contains(x.parts, part) {
+			return false
+		}
+		return slices.ContainsFunc(e.held, func(c Crash) bool { return x.in(c.Parts) })
 	})
 }
 
@@ -155,11 +172,15 @@
 
 // mostConspicuous returns the part to condemn next, if there is one: first parts that were
 // condemned before, then those that were never served, then the one served longest ago.
-func mostConspicuous(s snapshot, events []*event) (Finding, bool) {
-	candidates := allFindings(s, events)
+func mostConspicuous(s snapshot, events []*event, condemned []combination) (Finding, bool) {
+	candidates := slices.DeleteFunc(allFindings(s, events, condemned), func(f Finding) bool {
+		return slices.ContainsFunc(condemned, func(x combination) bool { return x.until.IsZero() && slices.Equal(x.parts, f.parts()) })
+	})
 	for _, f := range candidates {
-		if _, ok := s.lapsed[f.Part]; ok {
-			return f, true
+		for _, x := range condemned {
+			if f.renews(x) {
+				return f, true
+			}
 		}
 	}
 	for _, f := range candidates {
@@ -175,15 +196,22 @@
 	return Finding{}, false
 }
 
+// renews reports whether a target crashed under a request that a lapsed quarantine concerned.
+func (f Finding) renews(x combination) bool {
+	return !x.until.IsZero() && slices.Contains(x.parts, f.Part) && slices.ContainsFunc(f.events, func(e *event) bool {
+		return e.at.After(x.until) && slices.ContainsFunc(e.held, func(c Crash) bool { return x.in(c.Parts) })
+	})
+}
+
 // allFindings returns the evidence against each part, ordered by when it was served last, with
 // those that were never served first, and then by the number of crashes.
-func allFindings(s snapshot, events []*event) []Finding {
+func allFindings(s snapshot, events []*event, condemned []combination) []Finding {
 	byPart := map[string]*tally{}
 	for _, e := range events {
 		for _, c := range e.held {
 			for _, part := range c.Parts {
 				served, ever := s.served[part]
-				if served.After(e.at) {
+				if served.After(e.at) || e.explained(condemned, part) {
 					continue
 				}
 				if byPart[part] == nil {
@@ -195,6 +223,7 @@
 	}
 	findings := make([]Finding, 0, len(byPart))
 	for _, t := range byPart {
+		t.With = companions(s, t.Finding)
 		findings = append(findings, t.Finding)
 	}
 	slices.SortFunc(findings, func(a, b Finding) int {
@@ -203,6 +232,29 @@
 	return findings
 }
 
+// companions returns the parts that were in all requests with the part at its crashes and that
+// may be the cause as well: they were not served since, and never if the part was never.
+func companions(s snapshot, f Finding) []string {
+	var with []string
+	first := true
+	for _, e := range f.events {
+		for _, c := range e.held {
+			if !slices.Contains(c.Parts, f.Part) {
+				continue
+			}
+			if first {
+				first = false
+				with = slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool {
+					served, ever := s.served[part]
+					return part == f.Part || ever && !f.ServedBefore || served.After(f.First)
+				})
+			}
+			with = slices.DeleteFunc(with, func(part string) bool { return !slices.Contains(c.Parts, part) })
+		}
+	}
+	return with
+}
+
 // tally collects the evidence against a part, from the events since its last served request.
 type tally struct {
 	Finding
@@ -275,7 +327,7 @@
 		present := map[string]bool{}
 		for _, c := range e.held {
 			for _, part := range c.Parts {
-				if _, ever := s.served[part]; !ever && part != f.Part {
+				if _, ever := s.served[part]; !ever && part != f.Part && !slices.Contains(f.With, part) {
 					present[part] = true
 				}
 			}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,8 +6,10 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,6 +30,8 @@
 	crashMemory = 10 * time.Minute
 	// servedMemory is how long it is remembered that a part was served.
 	servedMemory = 15 * time.Minute
+	// clockMargin is added to the time of a crash at another VM, whose report may have taken a while.
+	clockMargin = 100 * time.Millisecond
 	// minExperience is the number of served requests after which a VM knows the usual parts.
 	minExperience = 10
 
@@ -38,13 +42,15 @@
 	maxQuarantines      = 64
 )
 
-// Verdict is the quarantine of a part.
+// Verdict is the quarantine of a part, or of several that always came together at crashes:
+// requests with all of them are refused.
 type Verdict struct {
-	Part string
-	// Crashes is the number of crashes that are explained by the part.
-	Crashes   int
-	Since     time.Time
-	LastCrash time.Time
+	Parts []string
+	// Crashes is the number of crashes that are explained by the parts.
+	Crashes    int
+	Since      time.Time
+	FirstCrash time.Time
+	LastCrash  time.Time
 	// Until is when the quarantine lapses unless another target crashes under the part.
 	Until time.Time
 
@@ -61,6 +67,14 @@
 	cleared       // a request with the part was served
 )
 
+// key identifies the quarantine by its parts.
+func (v *Verdict) key() string { return strings.Join(v.Parts, "+") }
+
+// forbids reports whether the quarantine is in force and concerns a request with these parts.
+func (v *Verdict) forbids(parts []string) bool {
+	return v.state == active && combination{parts: v.Parts}.in(parts)
+}
+
 func (v *Verdict) term() time.Duration {
 	if v.servedBefore {
 		return knownPartTerm
@@ -72,9 +86,9 @@
 type Detector struct {
 	log *slog.Logger
 	// OnEvidence is called when there is evidence that the other VMs should hear of soon.
-	// OnQuarantine is called with each part that is quarantined. Both may be nil.
+	// OnQuarantine is called after parts were quarantined. Both may be nil.
 	OnEvidence   func()
-	OnQuarantine func(part string)
+	OnQuarantine func()
 
 	mu      sync.Mutex
 	crashes []Crash // of all VMs, in order of arrival
@@ -91,7 +105,7 @@
 	servedCount     int
 	// recent are the times at which the last minServed answers began that this VM served.
 	recent   []time.Time
-	verdicts map[string]*Verdict
+	verdicts map[string]*Verdict // by key
 }
 
 // New returns a Detector without evidence.
@@ -103,15 +117,15 @@
 func (d *Detector) Check(parts []string, now time.Time) (Verdict, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, part := range parts {
-		if v := d.verdicts[part]; v != nil && v.state == active && now.Before(v.Until) {
+	for _, v := range d.verdicts {
+		if v.forbids(parts) && now.Before(v.Until) {
 			return *v, true
 		}
 	}
 	return Verdict{}, false
 }
 
-// Active returns the number of quarantined parts.
+// Active returns the number of quarantines in force.
 func (d *Detector) Active() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -131,14 +145,14 @@
 	c := Crash{ID: rand.Uint64(), Target: target, Request: request, OwnPart: ownPart, Parts: d.mostSuspicious(parts), At: now}
 	added := d.addCrash(c, true)
 	d.mu.Unlock()
-	d.announce(nil, added)
+	d.announce(false, added)
 }
 
 // Decide quarantines the parts that the evidence condemns, if there is new evidence. It is
 // called SettleTime after a crash.
 func (d *Detector) Decide(now time.Time) {
 	d.mu.Lock()
-	var condemned []string
+	condemned := false
 	if d.undecided {
 		condemned = d.decide(now)
 	}
@@ -179,8 +193,8 @@
 	d.known[c.ID] = own
 	d.undecided = true
 	d.suspect(c)
-	for _, part := range c.Parts {
-		if v := d.verdicts[part]; v != nil && v.state == active && c.At.After(v.LastCrash) {
+	for _, v := range d.verdicts {
+		if v.forbids(c.Parts) && c.At.After(v.LastCrash) {
 			v.LastCrash, v.Until = c.At, c.At.Add(v.term())
 			if ofTarget == 0 {
 				v.Crashes++
@@ -223,17 +237,34 @@
 func (d *Detector) clear(part string, served time.Time) bool {
 	crash, suspected := d.suspects[part]
 	news := suspected && served.After(crash) && !d.lastServed(part).After(crash)
-	v := d.verdicts[part]
-	if v == nil || v.state == cleared || !served.After(v.LastCrash) {
-		return news
+	for _, v := range slices.Collect(maps.Values(d.verdicts)) {
+		if v.state != cleared && slices.Contains(v.Parts, part) && served.Sub(v.FirstCrash) > clockMargin {
+			d.acquit(v, part, served)
+			news = true
+		}
 	}
-	d.logEnd(v, "a request with it was served", served)
+	return news
+}
+
+// acquit removes a part from a quarantine: a request with it was served after the first of the
+// crashes. d.mu must be held.
+func (d *Detector) acquit(v *Verdict, part string, served time.Time) {
+	if len(v.Parts) == 1 {
+		d.logEnd(v, "a request with it was served", served)
+		v.state = cleared
+		return
+	}
+	rest := *v
+	rest.Parts = slices.DeleteFunc(slices.Clone(v.Parts), func(other string) bool { return other == part })
+	d.log.Info("quarantine of prompt parts narrowed", "parts", v.Parts, "served", part)
 	v.state = cleared
-	return true
+	if d.verdicts[rest.key()] == nil {
+		d.verdicts[rest.key()] = &rest
+	}
 }
 
 func (d *Detector) logEnd(v *Verdict, reason string, now time.Time) {
-	d.log.Warn("quarantine of a prompt part ended", "part", v.Part, "reason", reason, "crashes", v.Crashes,
+	d.log.Warn("quarantine of a prompt part ended", "parts", v.Parts, "reason", reason, "crashes", v.Crashes,
 		"last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond))
 }
 
@@ -271,17 +302,17 @@
 // also depends on time. It is called several times a second.
 func (d *Detector) Tick(now time.Time) {
 	d.mu.Lock()
-	for part, v := range d.verdicts {
+	for key, v := range d.verdicts {
 		if v.state == active && !now.Before(v.Until) {
 			d.logEnd(v, "no target crashed for long enough", now)
 			v.state = lapsed
 		}
 		if now.Sub(v.Until) > probationTime {
-			delete(d.verdicts, part)
+			delete(d.verdicts, key)
 		}
 	}
 	d.forgetCrashes(now)
-	var condemned []string
+	condemned := false
 	if d.undecided || len(d.crashes) > 0 && now.Sub(d.crashes[len(d.crashes)-1].At) < decisionTime {
 		condemned = d.decide(now)
 	}
@@ -314,29 +345,31 @@
 	}
 }
 
-// decide quarantines the parts that the evidence condemns and returns them. d.mu must be held.
-func (d *Detector) decide(now time.Time) []string {
+// decide quarantines the parts that the evidence condemns. It reports whether there are any.
+// d.mu must be held.
+func (d *Detector) decide(now time.Time) bool {
 	d.undecided = slices.ContainsFunc(d.crashes, func(c Crash) bool { return now.Sub(c.At) < SettleTime })
-	var condemned []string
-	for _, f := range decide(d.snapshot(now)) {
-		v := d.verdicts[f.Part]
-		if v == nil {
-			v = &Verdict{Part: f.Part, servedBefore: f.ServedBefore}
+	findings := decide(d.snapshot(now))
+	for _, f := range findings {
+		condemned := &Verdict{Parts: f.parts(), servedBefore: f.ServedBefore}
+		v := d.verdicts[condemned.key()]
+		if v == nil || v.state == cleared {
+			v = condemned
 			d.makeRoom()
-			d.verdicts[f.Part] = v
+			d.verdicts[v.key()] = v
 		}
+		v.FirstCrash = f.First
 		v.state, v.Since, v.LastCrash, v.Until = active, now, f.Last, f.Last.Add(v.term())
 		v.Crashes += f.Crashes
-		condemned = append(condemned, f.Part)
-		d.log.Warn("prompt part quarantined", "part", f.Part, "crashes", f.Crashes, "separate", f.Separate, "prompts", f.Prompts, "requests", f.Requests,
+		d.log.Warn("prompt part quarantined", "parts", v.Parts, "crashes", f.Crashes, "separate", f.Separate, "prompts", f.Prompts, "requests", f.Requests,
 			"first_crash_age", now.Sub(f.First).Round(time.Millisecond), "last_crash_age", now.Sub(f.Last).Round(time.Millisecond),
 			"served_before", f.ServedBefore, "for", v.Until.Sub(now).Round(time.Second), "heard_from_peer", false)
 	}
-	return condemned
+	return len(findings) > 0
 }
 
 func (d *Detector) snapshot(now time.Time) snapshot {
-	s := snapshot{now: now, crashes: d.crashes, served: map[string]time.Time{}, condemned: map[string]bool{}, lapsed: map[string]time.Time{}, experienced: d.servedCount >= minExperience, recent: d.recent}
+	s := snapshot{now: now, crashes: d.crashes, served: map[string]time.Time{}, experienced: d.servedCount >= minExperience, recent: d.recent}
 	for _, c := range d.crashes {
 		for _, part := range append(slices.Clone(c.Parts), c.OwnPart) {
 			if at := d.lastServed(part); !at.IsZero() {
@@ -344,12 +377,12 @@
 			}
 		}
 	}
-	for part, v := range d.verdicts {
+	for _, v := range d.verdicts {
 		switch v.state {
 		case active:
-			s.condemned[part] = true
+			s.condemned = append(s.condemned, combination{parts: v.Parts})
 		case lapsed:
-			s.lapsed[part] = v.Until
+			s.condemned = append(s.condemned, combination{parts: v.Parts, until: v.Until})
 		}
 	}
 	return s
@@ -361,22 +394,20 @@
 		return
 	}
 	first := ""
-	for part, v := range d.verdicts {
+	for key, v := range d.verdicts {
 		if first == "" || v.Until.Before(d.verdicts[first].Until) {
-			first = part
+			first = key
 		}
 	}
 	delete(d.verdicts, first)
 }
 
 // announce calls the callbacks, without the lock.
-func (d *Detector) announce(condemned []string, news bool) {
-	if (news || len(condemned) > 0) && d.OnEvidence != nil {
+func (d *Detector) announce(condemned, news bool) {
+	if (news || condemned) && d.OnEvidence != nil {
 		d.OnEvidence()
 	}
-	if d.OnQuarantine != nil {
-		for _, part := range condemned {
-			d.OnQuarantine(part)
-		}
+	if condemned && d.OnQuarantine != nil {
+		d.OnQuarantine()
 	}
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -20,9 +20,9 @@
 // differ. It holds only what the VM has seen itself, except for verdicts: ages that are passed
 // on several times would drift.
 type Report struct {
-	Crashes []CrashReport   `msgpack:"c,omitempty"`
-	Served  []ServedReport  `msgpack:"s,omitempty"`
-	Parts   []VerdictReport `msgpack:"q,omitempty"`
+	Crashes  []CrashReport   `msgpack:"c,omitempty"`
+	Served   []ServedReport  `msgpack:"s,omitempty"`
+	Verdicts []VerdictReport `msgpack:"q,omitempty"`
 }
 
 // CrashReport is the wire format of a Crash.
@@ -43,10 +43,11 @@
 
 // VerdictReport is the wire format of a Verdict.
 type VerdictReport struct {
-	Part           string `msgpack:"p"`
-	Crashes        int    `msgpack:"n"`
-	LastCrashAgeMs int64  `msgpack:"a"`
-	ServedBefore   bool   `msgpack:"s,omitempty"`
+	Parts           []string `msgpack:"p"`
+	Crashes         int      `msgpack:"n"`
+	FirstCrashAgeMs int64    `msgpack:"f"`
+	LastCrashAgeMs  int64    `msgpack:"a"`
+	ServedBefore    bool     `msgpack:"s,omitempty"`
 }
 
 // Report returns what the other VMs must know; nil if there is nothing.
@@ -70,10 +71,10 @@
 	r.Served = d.servedSuspects(now)
 	for _, v := range d.verdicts {
 		if v.state == active {
-			r.Parts = append(r.Parts, VerdictReport{Part: v.Part, Crashes: v.Crashes, LastCrashAgeMs: now.Sub(v.LastCrash).Milliseconds(), ServedBefore: v.servedBefore})
+			r.Verdicts = append(r.Verdicts, VerdictReport{Parts: v.Parts, Crashes: v.Crashes, FirstCrashAgeMs: now.Sub(v.FirstCrash).Milliseconds(), LastCrashAgeMs: now.Sub(v.LastCrash).Milliseconds(), ServedBefore: v.servedBefore})
 		}
 	}
-	if len(r.Crashes)+len(r.Served)+len(r.Parts) == 0 {
+	if len(r.Crashes)+len(r.Served)+len(r.Verdicts) == 0 {
 		return nil
 	}
 	return r
@@ -100,8 +101,10 @@
 			reports = append(reports, ServedReport{Part: part, AgeMs: now.Sub(at).Milliseconds()})
 		}
 	}
-	for part := range d.verdicts {
-		tell(part)
+	for _, v := range d.verdicts {
+		for _, part := range v.Parts {
+			tell(part)
+		}
 	}
 	for _, c := range slices.Backward(d.crashes) {
 		if now.Sub(c.At) > reportedFor {
@@ -128,7 +131,7 @@
 			news = news || d.servedAnyOf(c)
 		}
 	}
-	condemned := d.mergeVerdicts(r.Parts, now)
+	condemned := d.mergeVerdicts(r.Verdicts, now)
 	d.mu.Unlock()
 	d.announce(condemned, news)
 }
@@ -156,19 +159,20 @@
 }
 
 // mergeVerdicts adopts the quarantines that another VM reports, except of parts that were
-// served since. It returns the new ones. d.mu must be held.
-func (d *Detector) mergeVerdicts(reports []VerdictReport, now time.Time) []string {
-	var condemned []string
+// served since. It reports whether there are new ones. d.mu must be held.
+func (d *Detector) mergeVerdicts(reports []VerdictReport, now time.Time) bool {
+	condemned := false
 	for _, r := range reports[:min(len(reports), maxQuarantines)] {
-		v := &Verdict{Part: r.Part, Crashes: r.Crashes, Since: now, LastCrash: now.Add(-age(r.LastCrashAgeMs)), servedBefore: r.ServedBefore}
+		v := &Verdict{Parts: r.Parts[:min(len(r.Parts), maxPartsPerCrash)], Crashes: r.Crashes, Since: now, FirstCrash: now.Add(-age(r.FirstCrashAgeMs)), LastCrash: now.Add(-age(r.LastCrashAgeMs)), servedBefore: r.ServedBefore}
 		v.Until = v.LastCrash.Add(v.term())
-		if !now.Before(v.Until) || d.lastServed(r.Part).After(v.LastCrash) || !newerThan(v, d.verdicts[r.Part]) {
+		served := slices.ContainsFunc(v.Parts, func(part string) bool { return d.lastServed(part).Sub(v.FirstCrash) > clockMargin })
+		if len(v.Parts) == 0 || !now.Before(v.Until) || served || !newerThan(v, d.verdicts[v.key()]) {
 			continue
 		}
 		d.makeRoom()
-		d.verdicts[r.Part] = v
-		condemned = append(condemned, r.Part)
-		d.log.Warn("prompt part quarantined", "part", r.Part, "crashes", r.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond),
+		d.verdicts[v.key()] = v
+		condemned = true
+		d.log.Warn("prompt part quarantined", "parts", v.Parts, "crashes", r.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond),
 			"served_before", r.ServedBefore, "for", v.Until.Sub(now).Round(time.Second), "heard_from_peer", true)
 	}
 	return condemned
