forward: close the connection of a caller that half-closed it

A caller that closes only its sending side after a request counts as disconnected, because net/http reports the end of the input that way. The handler then returned without a response, and net/http wrote an empty 200 for it; a stream that had begun got its last chunk and looked complete.

The handler now ends such a call with http.ErrAbortHandler, as it does for an interrupted response.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -51,6 +51,9 @@
 		o := h.run(ctx, c, a)
 		if o == delivered || o == callerDisconnected {
 			h.Metrics.ObserveRequest(c.route.Kind.String(), o, time.Since(c.arrived))
+			if o == callerDisconnected {
+				abortResponse()
+			}
 			return
 		}
 		if o == notAdmitted {
@@ -151,14 +154,13 @@
 func (h *Handler) finish(ctx context.Context, c *call, f *refusal) {
 	switch {
 	case c.caller.headerSent:
-		// The connection is aborted, so that the caller does not take a partial response
-		// for a complete one.
 		h.logInterruption(c, f)
 		h.Metrics.CountRefusal(0)
-		panic(http.ErrAbortHandler)
+		abortResponse()
 	case c.request.Context().Err() != nil:
 		h.Log.Info("caller disconnected", "request", c.meta.ID, "after", time.Since(c.arrived).Round(time.Millisecond), "last_outcome", c.lastOutcome.String())
 		h.Metrics.ObserveRequest(c.route.Kind.String(), callerDisconnected, time.Since(c.arrived))
+		abortResponse()
 	case c.failure != nil:
 		h.Metrics.ObserveRequest(c.route.Kind.String(), failed, time.Since(c.arrived))
 		h.extendWriteDeadline(c)
@@ -176,6 +178,10 @@
 	}
 }
 
+// abortResponse closes the caller's connection. net/http would complete the response of a handler
+// that returns, and a caller that closed only its sending side would take it for a complete one.
+func abortResponse() { panic(http.ErrAbortHandler) }
+
 // logInterruption logs why a response that had begun is not completed: how its last attempt
 // ended, and why no other attempt continues it. f is the refusal of a further placement, or nil.
 func (h *Handler) logInterruption(c *call, f *refusal) {
