forward: watch the target of a standby attempt, too

A standby attempt had no watchdog. If its target was silent as well, for example in the same cut-off zone, the request waited for these two until its deadline although the route allowed a third target; if the first target then broke off, the call waited for a silent target alone.

A standby attempt gets a hedge of its own. None of the attempts is given up before another one has a part of the response, so a third target that is full costs nothing. The number of targets stays bounded by attemptsSent.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -29,7 +29,7 @@
 	resume progress
 	// observed is nil until the request is sent, and if its prompt has no shared parts.
 	observed *observedAttempt
-	// watch is nil for a standby attempt that has not taken over.
+	// watch is nil for a standby attempt that waits to take over.
 	watch *watchdog
 
 	// exchange is nil until the target's response begins.
--- a/internal/forward/observed.go
+++ b/internal/forward/observed.go
@@ -22,8 +22,8 @@
 	attempts map[*observedAttempt]bool
 }
 
-// observe adds an attempt that is about to be sent, if the prompt has shared parts. The end
-// of the attempt removes it.
+// observe adds an attempt that is about to be sent, if the prompt has shared parts. It is
+// removed when the attempt ends or its evidence is recorded.
 func (h *Handler) observe(c *call, a *attempt) {
 	if len(c.meta.SharedParts) == 0 {
 		return
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -53,12 +53,14 @@
 
 // recordEvidence records whether an attempt that has ended was served, or its target crashed.
 // In the latter case it waits a moment for the decision, so that the repeat of a request that
-// crashes targets is not sent.
+// crashes targets is not sent. It does nothing the second time.
 func (h *Handler) recordEvidence(c *call, a *attempt, o outcome, err error) {
 	observed := a.observed
 	if observed == nil {
 		return
 	}
+	a.observed = nil
+	h.observed.remove(observed)
 	now := time.Now()
 	began, writing := a.d.running.FirstEventAt()
 	switch {
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -81,7 +81,7 @@
 // runOne relays the response of an attempt. It returns the standby attempt that took over, if any.
 func (h *Handler) runOne(ctx context.Context, c *call, a *attempt) (outcome, *attempt) {
 	defer a.end()
-	g := newHedge(ctx, h, c, a)
+	g := newHedge(ctx, h, c, a, c.caller.progress())
 	defer g.discard()
 	a.watch = h.newWatchdog(a.d.target, g.start, firstEventTimeout(c, a.d))
 	o, err := h.deliver(c, a, g)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -17,7 +17,8 @@
 	errWentOn   = errors.New("the first target went on")
 )
 
-// hedge starts a standby attempt beside an attempt whose target is silent. A target may be
+// hedge starts a standby attempt beside an attempt whose target is silent, which may be a
+// standby attempt itself. A target may be
 // silent for a while and go on, and another target may be full or silent too. So the first
 // attempt is given up only when the standby attempt has a part of the response.
 type hedge struct {
@@ -49,8 +50,8 @@
 	attempt *attempt
 }
 
-func newHedge(ctx context.Context, h *Handler, c *call, first *attempt) *hedge {
-	return &hedge{h: h, c: c, ctx: ctx, first: first, progress: c.caller.progress()}
+func newHedge(ctx context.Context, h *Handler, c *call, first *attempt, p progress) *hedge {
+	return &hedge{h: h, c: c, ctx: ctx, first: first, progress: p}
 }
 
 // start starts a standby attempt because the target is silent, if the route, the retry budget
@@ -104,7 +105,7 @@
 			g.logEnd(nil, f.reason, context.Cause(ctx))
 			return
 		}
-		if g.try(a, s) || !g.mayContinue(ctx) {
+		if g.try(ctx, a, s) || !g.mayContinue(ctx) {
 			return
 		}
 	}
@@ -112,7 +113,7 @@
 
 // try sends the request to the target of a standby attempt. It returns true if the attempt
 // took over.
-func (g *hedge) try(a *attempt, s *standby) bool {
+func (g *hedge) try(ctx context.Context, a *attempt, s *standby) bool {
 	defer func() {
 		if !g.tookOver(s) {
 			a.end()
@@ -120,7 +121,7 @@
 	}()
 	g.h.Log.Info("standby started", "request", g.c.meta.ID, "target", a.d.target.ID, "silent", g.first.d.target.ID,
 		"last", a.resume.lastEventID, "sent", g.c.attemptsSent, "left", g.c.remaining().Round(time.Millisecond))
-	o, err := g.h.request(g.c, a)
+	a, o, err := g.requestHedged(ctx, a)
 	if o == responded && a.exchange.StatusCode >= http.StatusInternalServerError {
 		o = failed
 	}
@@ -137,6 +138,30 @@
 	return false
 }
 
+// requestHedged sends the request to the target of a standby attempt, which may be silent, too:
+// a further standby attempt starts beside it then. It returns the attempt that responded, or a
+// with its outcome.
+func (g *hedge) requestHedged(ctx context.Context, a *attempt) (*attempt, outcome, error) {
+	inner := newHedge(ctx, g.h, g.c, a, a.resume)
+	defer inner.discard()
+	a.watch = g.h.newWatchdog(a.d.target, inner.start, firstEventTimeout(g.c, a.d))
+	o, err := g.h.request(g.c, a)
+	a.watch.stop()
+	a.watch = nil
+	if o == responded && inner.complete() {
+		inner.finish(delivered)
+		return a, o, err
+	}
+	g.h.recordEvidence(g.c, a, o, err)
+	next := inner.finish(o)
+	if next == nil {
+		return a, o, err
+	}
+	a.end()
+	g.h.recordAttempt(g.c, a, superseded, err)
+	return next, responded, nil
+}
+
 // mayContinue reports whether another standby attempt may follow one that has failed.
 func (g *hedge) mayContinue(ctx context.Context) bool {
 	if g.c.lastOutcome != notSent && g.c.lastOutcome != notAdmitted {
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -510,3 +510,84 @@
 	assert.Equal(t, second.arrivals.Load(), int32(0))
 	v.assertReleased(1)
 }
+
+// Guards against a standby attempt at a target that is silent too and keeps the request from a
+// third target until the deadline, and against one that is given up for a third target that
+// does not take the request.
+func TestSilentStandbyIsFollowedByAnother(t *testing.T) {
+	t.Parallel()
+	silent := func(c *connection) { c.waitForClose() }
+	breaksOff := func(*connection) { time.Sleep(time.Second) }
+	third := func(c *connection) { c.respond(200, "", "third") }
+	for name, c := range map[string]struct {
+		path                 string
+		first, second, third func(c *connection)
+		body                 string
+	}{
+		"first silent":     {"/safe/x", silent, silent, third, "third"},
+		"first breaks off": {"/safe/x", breaksOff, silent, third, "third"},
+		"stream": {"/stream/x", func(c *connection) { c.events(1, 3); silent(c) }, silent, func(c *connection) {
+			c.events(4, 6)
+			c.finish()
+		}, testEvents(1, 6)},
+		"third full": {"/safe/x", breaksOff, func(c *connection) {
+			time.Sleep(2500 * time.Millisecond)
+			c.respond(200, "", "second")
+		}, func(c *connection) { c.respond(503, "Not-Run: 1\r\n", "") }, "second"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var v *testVM
+			targets := []*testTarget{
+				newTestTarget(t, func(conn *connection) {
+					v.Views.Set(v.view.With(v.targets[:2], nil))
+					c.first(conn)
+				}),
+				newTestTarget(t, func(conn *connection) {
+					v.reveal()
+					c.second(conn)
+				}),
+				newTestTarget(t, c.third),
+			}
+			v = newTestVM(t, 3, targets...)
+			v.timeout = 12 * time.Second
+			_, body, err := v.send(t.Context(), c.path, "a")
+			assert.NilError(t, err)
+			assert.Equal(t, body, c.body)
+			for _, target := range targets {
+				assert.Equal(t, target.arrivals.Load(), int32(1))
+			}
+			v.assertReleased(2)
+		})
+	}
+}
+
+// Guards against more targets than the route allows, and against attempts that outlive the
+// deadline, if standby attempts are silent, too.
+func TestSilentStandbysAreBounded(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			var v *testVM
+			var targets []*testTarget
+			for range 5 {
+				targets = append(targets, newTestTarget(t, func(c *connection) {
+					v.reveal()
+					c.waitForClose()
+				}))
+			}
+			v = newTestVM(t, 3, targets...)
+			v.timeout = 5 * time.Second
+			status, _, err := v.send(t.Context(), path, "a")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusGatewayTimeout)
+			arrivals := int32(0)
+			for _, target := range targets {
+				arrivals += target.arrivals.Load()
+			}
+			assert.Equal(t, arrivals, int32(3))
+			v.assertReleased(2)
+		})
+	}
+}
