forward: keep the outcome of an attempt that ended before a standby took over

If a first attempt ended by itself while its standby attempt was under way, and that took over, its outcome was replaced by 'superseded'. A target that had reported that it did not run the request (503 or 421) then counted as unreachable for 0.3 s or more, and one that was never reached counted as one of the route's targets and as one that may have run the request.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -88,7 +88,7 @@
 	a.end()
 	h.recordEvidence(c, a, o, err)
 	next := g.finish(o)
-	if next != nil {
+	if next != nil && o == outcomeUnknown {
 		o = superseded
 	}
 	h.recordAttempt(c, a, o, err)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -157,8 +157,11 @@
 	if next == nil {
 		return a, o, err
 	}
+	if o == outcomeUnknown || o == responded {
+		o = superseded
+	}
 	a.end()
-	g.h.recordAttempt(g.c, a, superseded, err)
+	g.h.recordAttempt(g.c, a, o, err)
 	return next, responded, nil
 }
 
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -591,3 +591,28 @@
 		})
 	}
 }
+
+// Guards against a target that counts as unreachable, and a request that counts as run there,
+// because a standby attempt took over after the target had reported that it did not run it.
+func TestTakeOverKeepsTheOutcomeOfTheFirstAttempt(t *testing.T) {
+	t.Parallel()
+	var v *testVM
+	ended := make(chan struct{})
+	first := newTestTarget(t, func(c *connection) {
+		v.reveal()
+		time.Sleep(400 * time.Millisecond)
+		c.respond(503, "Not-Run: 1\r\n", "")
+		close(ended)
+	})
+	second := newTestTarget(t, func(c *connection) {
+		<-ended
+		time.Sleep(100 * time.Millisecond)
+		c.respond(200, "", "second")
+	})
+	v = newTestVM(t, 2, first, second)
+	_, body, err := v.send(t.Context(), "/safe/x", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "second")
+	assert.Assert(t, !v.Health.Status("t1", time.Now()).Unreachable)
+	v.assertReleased(1)
+}
