forward: log the denial of a standby attempt once per silence

Each attempt at an unreachable target probes it and reports it to all others there, and the reports are repeated while the target is silent, because attempts are no longer cancelled. With 40 streams at such a target and no other one, the log had 1852 lines 'target silent' in 6 s.

The same reason is logged once per attempt and silence now: 40 lines. TestLogOfAnUnreachableTarget failed before with 1852 lines.

--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -33,6 +33,8 @@
 	// closed is true when no standby attempt may start any more.
 	closed  bool
 	standby *standby // the latest; nil if none was started
+	// logged is the last denial of a standby attempt that was logged in this silence.
+	logged retryDenial
 	// handedOver is true once the call's goroutine has the standby attempt that took over.
 	handedOver bool
 }
@@ -63,8 +65,7 @@
 		return
 	}
 	denial := g.h.mayStartStandby(g.ctx, g.c)
-	g.h.Log.Info("target silent", "request", g.c.meta.ID, "target", g.first.d.target.ID, "silence", silence.Round(time.Millisecond),
-		"cause", cause, "last", g.progress.lastEventID, "sent", g.c.attemptsSent, "no_standby", string(denial))
+	g.logSilence(cause, silence, denial)
 	if denial != retryAllowed {
 		return
 	}
@@ -74,6 +75,17 @@
 	go g.run(ctx, g.standby)
 }
 
+// logSilence logs that the target is silent. The silence is reported again and again, so the same
+// denial is logged once. The mutex must be held.
+func (g *hedge) logSilence(cause error, silence time.Duration, denial retryDenial) {
+	if denial != retryAllowed && denial == g.logged {
+		return
+	}
+	g.logged = denial
+	g.h.Log.Info("target silent", "request", g.c.meta.ID, "target", g.first.d.target.ID, "silence", silence.Round(time.Millisecond),
+		"cause", cause, "last", g.progress.lastEventID, "sent", g.c.attemptsSent, "no_standby", string(denial))
+}
+
 // mayStartStandby returns retryAllowed, and counts a retry, if the request may be sent to
 // another target while its latest attempt goes on; otherwise it returns the reason.
 func (h *Handler) mayStartStandby(ctx context.Context, c *call) retryDenial {
@@ -227,6 +239,7 @@
 	if !g.dismiss() {
 		return false, false
 	}
+	g.logged = retryAllowed
 	g.progress.begun, g.progress.lastEventAt = true, time.Now()
 	if eventID != "" {
 		g.progress.lastEventID = eventID
