forward: write a target's complete response after the deadline, too

A complete response of a target that was read before the deadline and came to be written more than 0.4 s after it, on a VM that was paused or short of processor time, was still lost: the caller's connection was closed without a response, and the call counted as delivered.

TestResponseIsRelayedAfterTheWriteDeadline failed before with EOF and passes.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// extendWriteDeadline gives a final response that is generated after the deadline the usual
+// extendWriteDeadline gives a final response that is ready after the deadline the usual
 // time to be written. A VM that was paused or short of processor time comes to it late.
 func (h *Handler) extendWriteDeadline(c *call) {
 	now := time.Now()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -224,6 +224,7 @@
 	}
 	a.watch.reset(0)
 	if a.complete != nil {
+		h.extendWriteDeadline(c)
 		c.caller.writeResponse(a.complete)
 		return delivered, nil
 	}
