gateway: close the connection of a caller that half-closed it

TestCallerThatHalfCloses failed before for both kinds of completions with 'HTTP/1.1 200 OK ... Content-Length: 0' and passes.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -30,9 +30,12 @@
 		s.write(w)
 		return
 	}
-	if e := toAPIError(err); e != nil {
-		e.Write(w)
+	e := toAPIError(err)
+	if e == nil {
+		// net/http would send an empty success to a caller that closed only its sending side.
+		panic(http.ErrAbortHandler)
 	}
+	e.Write(w)
 }
 
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
@@ -42,14 +45,7 @@
 	if err == nil {
 		return
 	}
-	if e := toAPIError(err); e != nil {
-		s.fail(e)
-	}
-	if s.headerSent {
-		// The chunked encoding is not terminated, so that a client that ignores the missing
-		// end marker still detects the incomplete response.
-		panic(http.ErrAbortHandler)
-	}
+	s.end(err)
 }
 
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, account string, err error) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -89,6 +89,19 @@
 	return nil
 }
 
+// end ends a response that failed with err. It aborts the connection unless an error response
+// was sent: net/http completes the response of a handler that returns, and a client that ignores
+// the missing end marker, or that closed only its sending side, would take it for a complete one.
+func (s *streamSink) end(err error) {
+	e := toAPIError(err)
+	if e != nil {
+		s.fail(e)
+	}
+	if e == nil || s.headerSent {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // fail reports to the caller that the response is incomplete. The end marker is omitted, so
 // that no client takes the response for a complete one.
 func (s *streamSink) fail(e *apierror.Error) {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -35,12 +35,7 @@
 	if err == nil {
 		return
 	}
-	if e := toAPIError(err); e != nil {
-		s.fail(e)
-	}
-	if s.headerSent {
-		panic(http.ErrAbortHandler)
-	}
+	s.end(err)
 }
 
 // nextEventIndex returns the index after the caller's last event.
