gateway: time to write a final response that is ready after the deadline

The write deadline of a stream was 0.5 s after the call's deadline whenever the response was ready. If the VM was paused or short of processor time, the error response could not be written and the caller's connection was closed without a response. The same holds for the final error event and for a collected response.

TestDeadlinePassesWhileVMIsPaused failed before for a stream (EOF) and passes; internal/gateway with -race passes.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -42,3 +43,22 @@
 		assert.Check(t, !strings.HasPrefix(string(text), "HTTP/1.1 200"), "stream %t: %q", stream, text)
 	}
 }
+
+// Guards against a connection that is closed without a response because the VM was paused when
+// the request's deadline passed.
+func TestDeadlinePassesWhileVMIsPaused(t *testing.T) {
+	f := newFixture(t, 1, 1, nil)
+	f.gateways[0].Admitter = delayedAdmitter(lastWriteGrace + 200*time.Millisecond)
+	for _, stream := range []bool{false, true} {
+		body := fmt.Sprintf(`{"model":"catalogue","prompt":"which","max_tokens":5,"stream":%t}`, stream)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.urls[0]+"/v1/completions", strings.NewReader(body))
+		assert.NilError(t, err)
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set(HeaderTimeout, "200")
+		resp, err := testClient.Do(req)
+		if assert.Check(t, err, "stream %t", stream) {
+			assert.Check(t, resp.StatusCode == http.StatusGatewayTimeout, "stream %t: status %d", stream, resp.StatusCode)
+			resp.Body.Close()
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,6 +36,16 @@
 // lastWriteGrace is the time to report to the caller that the deadline has passed.
 const lastWriteGrace = 500 * time.Millisecond
 
+// lastWriteDeadline returns the write deadline of a final response that is ready now. A VM that
+// was paused or short of processor time may come to it long after the call's deadline.
+func (c *call) lastWriteDeadline() time.Time {
+	now := time.Now()
+	if now.After(c.deadline) {
+		return now.Add(lastWriteGrace)
+	}
+	return c.deadline.Add(lastWriteGrace)
+}
+
 func (s *streamSink) setResumeToken(token string) {
 	s.token = token
 	if s.headerSent {
@@ -105,6 +115,7 @@
 // fail reports to the caller that the response is incomplete. The end marker is omitted, so
 // that no client takes the response for a complete one.
 func (s *streamSink) fail(e *apierror.Error) {
+	s.control.SetWriteDeadline(s.c.lastWriteDeadline())
 	if !s.headerSent {
 		e.Write(s.w)
 		return
@@ -216,7 +227,7 @@
 	response.Choices = []choice{only}
 	w.Header().Set(HeaderRequestID, s.c.id)
 	w.Header().Set("Content-Type", "application/json")
-	http.NewResponseController(w).SetWriteDeadline(s.c.deadline.Add(lastWriteGrace))
+	http.NewResponseController(w).SetWriteDeadline(s.c.lastWriteDeadline())
 	json.NewEncoder(w).Encode(response)
 }
 
