Tests: name the arrivals if there are more targets than the route allows

TestSilentStandbysAreBounded counted 4 arrivals for 3 once (whole package with -race, load 17 to 20 by other work); not seen again so far. The failure message names the requests and targets now.

--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -571,8 +571,10 @@
 			t.Parallel()
 			var v *testVM
 			var targets []*testTarget
-			for range 5 {
+			arrivals := make(chan string, 100)
+			for i := range 5 {
 				targets = append(targets, newTestTarget(t, func(c *connection) {
+					arrivals <- fmt.Sprintf("request %q at target %d", c.id, i+1)
 					v.reveal()
 					c.waitForClose()
 				}))
@@ -582,11 +584,12 @@
 			status, _, err := v.send(t.Context(), path, "a")
 			assert.NilError(t, err)
 			assert.Equal(t, status, http.StatusGatewayTimeout)
-			arrivals := int32(0)
-			for _, target := range targets {
-				arrivals += target.arrivals.Load()
+			close(arrivals)
+			var all []string
+			for arrival := range arrivals {
+				all = append(all, arrival)
 			}
-			assert.Equal(t, arrivals, int32(3))
+			assert.Equal(t, len(all), 3, "%q", all)
 			v.assertReleased(2)
 		})
 	}
