--- a/internal/plain/silence_test.go
+++ b/internal/plain/silence_test.go
@@ -15,7 +15,7 @@
 
 // Guards against an idempotent request that loses the response of a target which was silent for
 // half of its time: the attempt is given up before another target has a response.
-func TestSilentTargetIsKeptUntilAnotherResponds(t *testing.T) {
+func TestPlainTargetSilentForHalfOfTheTime(t *testing.T) {
 	t.Parallel()
 	w := newTestFleet(t, 0, 0)
 	cfg := *w.holder.Current()
