forward: a caller that does not read is no silence of the target

The watchdog of a stream ran on while an event was written to the caller. A caller that did not read for 1.2 s had a standby attempt started beside a target that was sending, which used up a retry and a target of the route and, once it took over, cancelled the sound attempt.

The watchdog stops while an event is written. TestSlowCallerIsNoSilenceOfTheTarget failed before (1 request at the second target) and passes; with the tests of standby attempts 3 of 3 with -race, the package once.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -259,7 +259,7 @@
 		if !ok {
 			return superseded, nil
 		}
-		a.watch.reset(eventGapTimeout(c.route, repeatable))
+		a.watch.reset(0) // the time that the caller takes to read is no silence of the target
 		if !c.caller.headerSent {
 			h.Metrics.ObserveFirstEvent(time.Since(c.arrived))
 			c.caller.writeHeader(a.exchange.StatusCode, h.Protocol.ResponseHeader(a.exchange.Header))
@@ -268,6 +268,7 @@
 		if c.caller.writeErr != nil {
 			return callerDisconnected, c.caller.writeErr
 		}
+		a.watch.reset(eventGapTimeout(c.route, repeatable))
 		event, err = a.nextEvent(c.caller.lastEventID, c.caller.relayComment)
 	}
 	if c.caller.writeErr != nil {
