plain: keep a silent target until another one has a response

Cause: Handler.attempt cancelled the attempt at half of the remaining time because another target was configured; a free slot, the retry budget and that target's answer came afterwards.

Change: after half of the remaining time the next attempt starts beside the silent one, and the first response that begins is relayed. The others are cancelled; a target that was silent until then counts as failed, as before.

--- a/internal/plain/idempotent.go
+++ b/internal/plain/idempotent.go
@@ -5,35 +5,122 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/apierror"
 )
 
-// serveIdempotent tries targets until one responds, as long as no byte of a response has
-// been relayed.
+// serveIdempotent sends the request to a target, and to another one when that has failed, or
+// sends nothing for half of the remaining time. A silent attempt goes on beside the next one,
+// which may fail, too; the first response that begins is relayed.
 func (h *Handler) serveIdempotent(ctx context.Context, w http.ResponseWriter, c *call) {
-	var exclude []string
-	var last *apierror.Error
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		if attempt > 1 && !h.retryBudget.Allow() {
-			break
-		}
-		slot, err := h.acquireTarget(ctx, c, exclude, attempt)
-		if err != nil {
-			last = errorToReport(last, err)
-			break
+	r := &race{h: h, ctx: ctx, c: c, ended: make(chan *attempt, maxAttempts)}
+	winner := r.run()
+	r.cancelOthers(winner)
+	if winner == nil {
+		r.lastErr.Write(w)
+		return
+	}
+	winner.relay(w)
+}
+
+// race makes attempts at one request until one has the begin of a response.
+type race struct {
+	h   *Handler
+	ctx context.Context // of the call
+	c   *call
+	// ended receives each attempt that has failed or has the begin of a response.
+	ended   chan *attempt
+	running []*attempt // in the order in which they were started
+	tried   []string   // the targets of all attempts
+	// lastErr is the error to report if no attempt has a response.
+	lastErr *apierror.Error
+}
+
+// run returns the attempt whose response begins first, or nil.
+func (r *race) run() *attempt {
+	r.start()
+	silence := time.NewTimer(r.maxSilence())
+	defer silence.Stop()
+	for len(r.running) > 0 {
+		select {
+		case a := <-r.ended:
+			if a.err == nil {
+				return a
+			}
+			r.remove(a)
+			if len(r.running) == 0 {
+				r.start()
+			}
+		case <-silence.C:
+			if r.h.picker.count(r.c.cfg, r.c.service) > len(r.tried) {
+				r.start()
+			}
 		}
-		hasAlternative := attempt < maxAttempts && h.picker.count(c.cfg, c.service) > len(exclude)+1
-		err = h.attempt(ctx, w, c, slot, hasAlternative)
-		if err == nil {
-			return
+		silence.Reset(r.maxSilence())
+	}
+	return nil
+}
+
+// minSilence bounds how often the start of another attempt is tried shortly before the deadline.
+const minSilence = 10 * time.Millisecond
+
+// maxSilence returns how long the attempts may be silent before another one is started.
+func (r *race) maxSilence() time.Duration { return max(time.Until(r.c.deadline)/2, minSilence) }
+
+// start starts the next attempt, if the bound on attempts, the retry budget and the targets
+// allow one.
+func (r *race) start() {
+	number := len(r.tried) + 1
+	if number > maxAttempts || number > 1 && !r.h.retryBudget.Allow() {
+		return
+	}
+	slot, err := r.h.acquireTarget(r.ctx, r.c, r.tried, number)
+	if err != nil {
+		r.lastErr = errorToReport(r.lastErr, err)
+		return
+	}
+	a := &attempt{slot: slot}
+	a.ctx, a.cancel = context.WithCancel(r.ctx)
+	r.running = append(r.running, a)
+	r.tried = append(r.tried, slot.name)
+	go func() {
+		a.err = r.h.exchange(r.c, a)
+		r.ended <- a
+	}()
+}
+
+// remove ends an attempt that has failed.
+func (r *race) remove(a *attempt) {
+	r.running = slices.DeleteFunc(r.running, func(other *attempt) bool { return other == a })
+	r.lastErr = errorToReport(r.lastErr, a.err)
+	a.end(!errors.Is(r.ctx.Err(), context.Canceled))
+}
+
+// cancelOthers cancels the attempts that still run beside the winner, which may be nil. The
+// target of one that was started before the winner has been silent and counts as failed.
+func (r *race) cancelOthers(winner *attempt) {
+	silent := true
+	for _, a := range r.running {
+		if a == winner {
+			silent = false
+			continue
 		}
-		last = errorToReport(last, err)
-		exclude = append(exclude, slot.name)
+		a.silent = silent
+		a.cancel()
+	}
+	others := len(r.running)
+	if winner != nil {
+		others--
 	}
-	last.Write(w)
+	go func() {
+		for range others {
+			a := <-r.ended
+			a.end(a.silent)
+		}
+	}()
 }
 
 // errorToReport returns the error to report after two attempts. If one attempt may have run,
@@ -63,29 +150,46 @@
 	return slot, nil
 }
 
-// attempt sends the request to one target and relays the response. It returns an error only
-// while nothing has been relayed. If there is another target, the attempt is aborted when no
-// response begins within half of the remaining time.
-func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, slot *targetSlot, hasAlternative bool) *apierror.Error {
+// attempt is one attempt at an idempotent request.
+type attempt struct {
+	slot   *targetSlot
+	ctx    context.Context
+	cancel context.CancelFunc
+	// silent is true if the target sent nothing until another attempt had a response.
+	silent bool
+
+	// err is why there is no response. Otherwise buffer holds the first bytes of the body of
+	// the response; read and readErr are the results of the call that read them.
+	err     *apierror.Error
+	resp    *http.Response
+	buffer  []byte
+	read    int
+	readErr error
+}
+
+// end releases everything that the attempt holds.
+func (a *attempt) end(failed bool) {
+	a.cancel()
+	if a.resp != nil {
+		a.resp.Body.Close()
+	}
+	a.slot.release(failed)
+}
+
+// relay sends the response to the caller.
+func (a *attempt) relay(w http.ResponseWriter) {
 	failed := true
-	defer func() { slot.release(failed && !errors.Is(ctx.Err(), context.Canceled)) }()
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timeout := time.Until(c.deadline)
-	if hasAlternative {
-		timeout /= 2
-	}
-	timer := time.AfterFunc(timeout, cancel)
-	defer timer.Stop()
-	err := h.exchange(attemptCtx, w, c, slot.address, timer)
-	failed = err != nil
-	return err
+	defer func() { a.end(failed && !errors.Is(a.ctx.Err(), context.Canceled)) }()
+	copyResponseHeader(w.Header(), a.resp.Header)
+	w.WriteHeader(a.resp.StatusCode)
+	relay(w, a.resp.Body, a.buffer, a.read, a.readErr)
+	failed = false
 }
 
-// exchange makes one attempt. It is cancelled by timer, which stops when the response begins.
-func (h *Handler) exchange(ctx context.Context, w http.ResponseWriter, c *call, address string, timer *time.Timer) *apierror.Error {
+// exchange sends the request to the target of an attempt and reads the begin of the response.
+func (h *Handler) exchange(c *call, a *attempt) *apierror.Error {
 	var maybeSent atomic.Bool
-	req, err := c.request(traceSent(ctx, &maybeSent), address)
+	req, err := c.request(traceSent(a.ctx, &maybeSent), a.slot.address)
 	if err != nil {
 		return apierror.From(err)
 	}
@@ -93,7 +197,7 @@
 	if err != nil {
 		return noResponseError(err, maybeSent.Load())
 	}
-	defer resp.Body.Close()
+	a.resp = resp
 	if isNotRun(resp) {
 		return errTargetRefused
 	}
@@ -102,10 +206,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		return noResponseError(err, true)
 	}
-	timer.Stop()
-	copyResponseHeader(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
-	relay(w, resp.Body, buffer, n, err)
+	a.buffer, a.read, a.readErr = buffer, n, err
 	return nil
 }
 
