--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -18,9 +18,9 @@
 )
 
 // hedge starts a standby attempt beside an attempt whose target is silent, which may be a
-// standby attempt itself. A target may be
-// silent for a while and go on, and another target may be full or silent too. So the first
-// attempt is given up only when the standby attempt has a part of the response.
+// standby attempt itself. A target may be silent for a while and go on, and another target may
+// be full or silent too. So the first attempt is given up only when the standby attempt has a
+// part of the response.
 type hedge struct {
 	h     *Handler
 	c     *call
