--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -192,7 +192,9 @@
 	assert.NilError(v.t, err)
 	r.Header.Set("Id", id)
 	r.Header.Set("Timeout-Ms", fmt.Sprint(v.timeout.Milliseconds()))
-	resp, err := http.DefaultClient.Do(r)
+	// Its own connection: tests that run in parallel close the idle ones of the default client.
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
 	if err != nil {
 		return 0, "", err
 	}
@@ -581,7 +583,7 @@
 			}
 			v = newTestVM(t, 3, targets...)
 			v.timeout = 5 * time.Second
-			status, _, err := v.send(t.Context(), path, "a")
+			status, _, err := v.send(t.Context(), path, "bounded"+path)
 			assert.NilError(t, err)
 			assert.Equal(t, status, http.StatusGatewayTimeout)
 			close(arrivals)
