--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -24,6 +24,9 @@
 	// engine that has asked for a pause: as late as leaves time for one more command. Without
 	// it the engine would cut off the request.
 	pausedRenewAge = reservationLease - renewInterval - commandTimeout
+	// maxSuspension is how long the engine that answers may be unreachable until the memory that
+	// its helpers hold is released. It leaves time to renew the lease if the engine goes on.
+	maxSuspension = 1500 * time.Millisecond
 	// reserveRetryDelay is the delay after an engine had less free memory than assumed.
 	reserveRetryDelay  = 150 * time.Millisecond
 	commandTimeout     = 600 * time.Millisecond
@@ -39,9 +42,13 @@
 	id          string
 	tokens      int
 	targets     []*topology.Target
+	renewalCtx  context.Context
 	stopRenewal context.CancelFunc
+	releaseOnce sync.Once
 
 	mu sync.Mutex
+	// suspension releases the memory when it fires; nil while the reservation is renewed.
+	suspension *time.Timer
 	// unconfirmed holds the targets that did not respond to a command: they may execute
 	// it late.
 	unconfirmed map[string]bool
@@ -60,9 +67,8 @@
 		r.release()
 		return nil, err
 	}
-	renewalCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	r.stopRenewal = cancel
-	go r.renew(renewalCtx)
+	r.renewalCtx, r.stopRenewal = context.WithCancel(context.WithoutCancel(ctx))
+	go r.renew()
 	return r, nil
 }
 
@@ -119,17 +125,71 @@
 	return due
 }
 
-func (r *reservation) renew(ctx context.Context) {
-	for wait.For(ctx, renewInterval) {
-		if err := r.reserveAt(ctx, r.dueTargets(), nil); err != nil && ctx.Err() == nil {
-			r.h.Log.Warn("reservation not renewed", "reservation", r.id, "error", err)
+// renew renews the reservation until it is released, except while it is suspended.
+func (r *reservation) renew() {
+	for wait.For(r.renewalCtx, renewInterval) {
+		if !r.suspended() {
+			r.renewOnce()
 		}
 	}
 }
 
+func (r *reservation) renewOnce() {
+	if err := r.reserveAt(r.renewalCtx, r.dueTargets(), nil); err != nil && r.renewalCtx.Err() == nil {
+		r.h.Log.Warn("reservation not renewed", "reservation", r.id, "error", err)
+	}
+}
+
+// suspend stops the renewals, because the engine that answers cannot be reached. The memory is
+// released if that is still so after maxSuspension.
+func (r *reservation) suspend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspension == nil {
+		r.suspension = time.AfterFunc(maxSuspension, r.endSuspension)
+	}
+}
+
+// endSuspension releases the memory unless the engine that answers can be reached again.
+func (r *reservation) endSuspension() {
+	if r.h.reachable(r.targets[0]) {
+		r.resume()
+		return
+	}
+	r.h.Log.Info("reservation released: the engine that answers cannot be reached", "reservation", r.id, "target", r.targets[0].ID)
+	r.release()
+}
+
+// resume ends a suspension, if there is one: the engine has gone on.
+func (r *reservation) resume() {
+	if r.stopSuspension() && r.renewalCtx.Err() == nil {
+		go r.renewOnce()
+	}
+}
+
+func (r *reservation) stopSuspension() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspension == nil {
+		return false
+	}
+	r.suspension.Stop()
+	r.suspension = nil
+	return true
+}
+
+func (r *reservation) suspended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspension != nil
+}
+
 // release releases the reservation on all engines. The release is repeated at an engine
 // that did not respond to a command, because it may execute that command late.
-func (r *reservation) release() {
+func (r *reservation) release() { r.releaseOnce.Do(r.releaseAll) }
+
+func (r *reservation) releaseAll() {
+	r.stopSuspension()
 	if r.stopRenewal != nil {
 		r.stopRenewal()
 	}
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -61,7 +61,13 @@
 func (g *hedge) start(cause error, silence time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed || g.standby != nil && g.standby.active {
+	if g.closed {
+		return
+	}
+	if errors.Is(cause, errUnreachable) && g.first.reservation != nil {
+		g.first.reservation.suspend()
+	}
+	if g.standby != nil && g.standby.active {
 		return
 	}
 	denial := g.h.mayStartStandby(g.ctx, g.c)
@@ -240,6 +246,9 @@
 		return false, false
 	}
 	g.logged = retryAllowed
+	if g.first.reservation != nil {
+		g.first.reservation.resume()
+	}
 	g.progress.begun, g.progress.lastEventAt = true, time.Now()
 	if eventID != "" {
 		g.progress.lastEventID = eventID
