--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,7 +20,9 @@
 // Delta is a set of changes of one table. It advances a replica that has all
 // changes up to version From to one that has all changes up to To.
 type Delta struct {
-	Table   string   `msgpack:"t"`
+	Table string `msgpack:"t"`
+	// Epoch is the epoch of the store in which the versions were assigned.
+	Epoch   uint64   `msgpack:"e,omitempty"`
 	From    uint64   `msgpack:"f"`
 	To      uint64   `msgpack:"o"`
 	Records []Record `msgpack:"r"`
--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -35,6 +35,8 @@
 // Listing holds all rows of a table.
 type Listing struct {
 	Records []replica.Record
+	// Epoch rises each time the store is restored from an older copy of its rows.
+	Epoch uint64
 	// Version is the version of the store, and StoreTime the time of its steady clock,
 	// at which the rows were read.
 	Version   uint64
@@ -98,6 +100,16 @@
 	applying    sync.Mutex
 	lastContact atomic.Pointer[time.Time] // time of the last response; nil if none
 	failing     atomic.Bool
+	epoch       atomic.Uint64 // of the last response
+}
+
+// observeEpoch logs a response of another epoch of the store than the one before. version
+// is that of the store.
+func (s *Syncer) observeEpoch(epoch, version uint64) {
+	if last := s.epoch.Swap(epoch); last != epoch {
+		s.Log.Warn("store epoch changed", "table", s.Replica.Table(), "epoch", epoch, "last_epoch", last,
+			"store_version", version, "version", s.Replica.Position())
+	}
 }
 
 // Failing reports whether the last call to the store failed.
@@ -166,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	s.observeEpoch(listing.Epoch, listing.Version)
 	s.recordContact(sentAt, listing.StoreTime)
 	s.applying.Lock()
 	defer s.applying.Unlock()
@@ -212,6 +225,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.observeEpoch(changes.Epoch, changes.To)
 	s.recordContact(sentAt, changes.StoreTime)
 	s.Apply(changes.Delta)
 	s.Confirm(changes.To, changes.StoreTime)
