Order everything by the store's epoch and version

Cause: versions of the store were taken for a total order of its history. After a return they go back and are assigned again. A listing with a lower version was refused until the counter had passed the replica's, and a row written again under a number not above the replica's was skipped for good; VMs passed the lost history on to each other by the same number. A watch after a version that the restored store has reached again is held for the whole long poll and tells nothing.

Change: a position is (epoch, version). A replica enters a later epoch with a complete listing only, from the store or from a peer, and never goes back. VMs tell each other the lowest version of the epoch, so that they agree on which rows were written in it. After a failed call the first watch does not wait, and a table that shows the new epoch ends the pause of the other one.

--- a/internal/peers/fetch.go
+++ b/internal/peers/fetch.go
@@ -23,16 +23,16 @@
 )
 
 // fetchNewer fetches changes of the tables for which the sender of a heartbeat
-// has a newer version.
+// has a newer replica.
 func (m *Mesh) fetchNewer(ctx context.Context, s status) {
-	for table, version := range s.Versions {
+	for table := range s.Versions {
 		c := m.replicas[table]
-		if c == nil || version <= c.Position() || !m.beginFetch(table) {
+		if c == nil || !c.Position().Before(s.position(table)) || !m.beginFetch(table) {
 			continue
 		}
 		go func() {
 			defer m.endFetch(table)
-			m.fetch(ctx, c, version)
+			m.fetch(ctx, c, s.position(table))
 		}()
 	}
 }
@@ -53,13 +53,13 @@
 	delete(m.fetching, table)
 }
 
-// fetch updates a replica to at least the given version, from another VM, or from
+// fetch updates a replica to at least the given position, from another VM, or from
 // the store if that fails.
-func (m *Mesh) fetch(ctx context.Context, c *replica.Replica, version uint64) {
-	if !wait.For(ctx, watchGracePeriod+rand.N(fetchJitter)) || c.Position() >= version {
+func (m *Mesh) fetch(ctx context.Context, c *replica.Replica, to replica.Position) {
+	if !wait.For(ctx, watchGracePeriod+rand.N(fetchJitter)) || !c.Position().Before(to) {
 		return
 	}
-	source, ok := m.pickSource(c.Table(), version)
+	source, ok := m.pickSource(c.Table(), to)
 	if ok {
 		err := m.fetchFrom(ctx, source, c)
 		if err == nil || ctx.Err() != nil {
@@ -73,13 +73,13 @@
 }
 
 // pickSource returns a random live VM whose replica of a table has reached the
-// given version. It prefers VMs of this zone.
-func (m *Mesh) pickSource(table string, version uint64) (status, bool) {
+// given position. It prefers VMs of this zone.
+func (m *Mesh) pickSource(table string, to replica.Position) (status, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var sameZone, otherZones []status
 	for _, p := range m.peers {
-		if p.suspect || p.lastHeartbeatAt.IsZero() || p.status.Versions[table] < version {
+		if p.suspect || p.lastHeartbeatAt.IsZero() || p.status.position(table).Before(to) {
 			continue
 		}
 		if p.status.Zone == m.self.Zone {
@@ -101,7 +101,8 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var reply changesReply
-	request := changesRequest{Table: c.Table(), After: c.Position()}
+	from := c.Position()
+	request := changesRequest{Table: c.Table(), Epoch: from.Epoch, After: from.Version}
 	if err := m.client.Call(ctx, source.LinkAddress, kindChanges, request, &reply); err != nil {
 		return err
 	}
@@ -110,8 +111,8 @@
 		return err
 	}
 	m.applyDelta(delta)
-	m.log.Info("changes fetched from peer", "peer", source.Name, "table", c.Table(), "from", request.After,
-		"to", c.Position(), "records", len(delta.Records), "bytes", len(reply.Delta))
+	m.log.Info("changes fetched from peer", "peer", source.Name, "table", c.Table(), "from", from.Version,
+		"to", delta.To, "epoch", delta.Epoch, "records", len(delta.Records), "bytes", len(reply.Delta))
 	return nil
 }
 
@@ -125,6 +126,6 @@
 	if c == nil {
 		return nil, fmt.Errorf("table %q is not copied here", request.Table)
 	}
-	data, err := encodeDelta(c.ChangesSince(request.After))
+	data, err := encodeDelta(c.ChangesSince(replica.Position{Epoch: request.Epoch, Version: request.After}))
 	return changesReply{Delta: data}, err
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -17,9 +17,10 @@
 // kindChanges is the kind of the link message that requests changes of a table.
 const kindChanges = "TableChanges"
 
-// changesRequest requests the changes of a table after a version.
+// changesRequest requests the changes of a table after a version of an epoch.
 type changesRequest struct {
 	Table string `msgpack:"t"`
+	Epoch uint64 `msgpack:"e,omitempty"`
 	After uint64 `msgpack:"a"`
 }
 
@@ -89,6 +90,11 @@
 	StoreAgeMs int64 `msgpack:"a"`
 	// StoreUnreachable is true while the VM's calls to the store fail.
 	StoreUnreachable bool `msgpack:"w,omitempty"`
+	// Epoch is the latest epoch of the store that the VM knows. The maps below hold only
+	// tables whose replica belongs to it.
+	Epoch uint64 `msgpack:"e,omitempty"`
+	// Base is the lowest version of the store that is known of the epoch.
+	Base uint64 `msgpack:"b,omitempty"`
 	// Versions holds the version of the VM's replica of each table.
 	Versions map[string]uint64 `msgpack:"p"`
 	// Confirmed holds the time of the store's steady clock, in milliseconds, up to
@@ -98,6 +104,15 @@
 	Quarantine *quarantine.Report `msgpack:"q,omitempty"`
 }
 
+// position returns the position of the VM's replica of a table.
+func (s *status) position(table string) replica.Position {
+	version, ok := s.Versions[table]
+	if !ok {
+		return replica.Position{}
+	}
+	return replica.Position{Epoch: s.Epoch, Version: version}
+}
+
 // requestMessage is the wire format of an inflight.Item; times are in milliseconds.
 type requestMessage struct {
 	_msgpack   struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads this option
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -63,8 +63,9 @@
 	lastStoreContact func() time.Time // last response of the store
 	storeUnreachable func() bool      // whether the last call of the store failed
 	reachability     TargetReachability
-	confirmed        func(table string) (storeTime time.Duration, ok bool)
-	confirm          func(table string, version uint64, storeTime time.Duration)
+	confirmed        func(table string) (epoch uint64, storeTime time.Duration, ok bool)
+	confirm          func(table string, to replica.Position, storeTime time.Duration)
+	observeBase      func(epoch, base uint64)
 	quarantine       *quarantine.Detector
 
 	conn       *net.UDPConn
@@ -124,10 +125,12 @@
 	// StoreUnreachable reports whether this VM's last call to the store failed.
 	StoreUnreachable func() bool
 	Reachability     TargetReachability
-	// Confirmed returns up to which time of the store's clock the replica of a table is
-	// known to be current. Confirm records what another VM knows about a version of it.
-	Confirmed func(table string) (storeTime time.Duration, ok bool)
-	Confirm   func(table string, version uint64, storeTime time.Duration)
+	// Confirmed returns up to which time of the store's clock in an epoch the replica of a
+	// table is known to be current. Confirm records what another VM knows about a position.
+	Confirmed func(table string) (epoch uint64, storeTime time.Duration, ok bool)
+	Confirm   func(table string, to replica.Position, storeTime time.Duration)
+	// ObserveBase records the lowest version of the store that another VM knows of an epoch.
+	ObserveBase func(epoch, base uint64)
 	// Quarantine is told to the other VMs, and learns from them.
 	Quarantine *quarantine.Detector
 }
@@ -144,7 +147,7 @@
 	}
 	m := &Mesh{
 		self: o.Self, log: o.Log, registry: o.Registry, applyDelta: o.ApplyDelta, refresh: o.Refresh, lastStoreContact: o.LastStoreContact, storeUnreachable: o.StoreUnreachable, reachability: o.Reachability,
-		confirmed: o.Confirmed, confirm: o.Confirm, quarantine: o.Quarantine,
+		confirmed: o.Confirmed, confirm: o.Confirm, observeBase: o.ObserveBase, quarantine: o.Quarantine,
 		replicas: map[string]*replica.Replica{}, conn: conn, instanceID: rand.Uint64(),
 		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
 		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
@@ -301,12 +304,23 @@
 	if at := m.lastStoreContact(); !at.IsZero() {
 		s.StoreAgeMs = time.Since(at).Milliseconds()
 	}
+	for _, c := range m.replicas {
+		s.Epoch = max(s.Epoch, c.Position().Epoch)
+	}
 	for table, c := range m.replicas {
-		// The version is read after the time, so that it is never too old for it.
-		if storeTime, ok := m.confirmed(table); ok {
+		// The position is read after the time, so that it is never too old for it.
+		epoch, storeTime, confirmed := m.confirmed(table)
+		position := c.Position()
+		if position.Epoch != s.Epoch {
+			continue
+		}
+		s.Versions[table] = position.Version
+		if confirmed && epoch == s.Epoch {
 			s.Confirmed[table] = storeTime.Milliseconds()
 		}
-		s.Versions[table] = c.Position()
+		if base := c.Base(); s.Base == 0 || base < s.Base {
+			s.Base = base
+		}
 	}
 	return s
 }
@@ -380,8 +394,9 @@
 		if h.Status.Quarantine != nil {
 			m.quarantine.Merge(h.Status.Quarantine, time.Now())
 		}
+		m.observeBase(h.Status.Epoch, h.Status.Base)
 		for table, ms := range h.Status.Confirmed {
-			m.confirm(table, h.Status.Versions[table], time.Duration(ms)*time.Millisecond)
+			m.confirm(table, h.Status.position(table), time.Duration(ms)*time.Millisecond)
 		}
 		m.fetchNewer(ctx, *h.Status)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -39,14 +39,15 @@
 
 // confirmedAt is the latest time at which a replica was confirmed.
 type confirmedAt struct {
-	mu sync.Mutex
-	at time.Duration
+	mu    sync.Mutex
+	epoch uint64 // of the store
+	at    time.Duration
 }
 
-func (c *confirmedAt) Confirmed(string) (time.Duration, bool) {
+func (c *confirmedAt) Confirmed(string) (uint64, time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.at, c.at > 0
+	return c.epoch, c.at, c.at > 0
 }
 
 func (c *confirmedAt) Confirm(at time.Duration) {
@@ -69,11 +70,12 @@
 		Reachability:     allReachable{},
 		Quarantine:       n.quarantine,
 		Confirmed:        n.freshness.Confirmed,
-		Confirm: func(_ string, version uint64, storeTime time.Duration) {
-			if n.replica.Position() >= version {
+		Confirm: func(_ string, to replica.Position, storeTime time.Duration) {
+			if !n.replica.Position().Before(to) {
 				n.freshness.Confirm(storeTime)
 			}
 		},
+		ObserveBase: func(epoch, base uint64) { n.replica.ObserveBase(epoch, base) },
 	})
 	assert.NilError(t, err)
 	n.registry.OnChange = n.mesh.ScheduleHeartbeat
@@ -134,9 +136,9 @@
 	a.mesh.AddPeer(b.address)
 	b.mesh.AddPeer(c.address)
 	large := []byte(strings.Repeat("route ", 80_000))
-	a.replica.Replace([]replica.Record{{Key: "config", Value: large, Version: 4}}, 5)
+	a.replica.Replace([]replica.Record{{Key: "config", Value: large, Version: 4}}, replica.Position{Version: 5})
 	a.mesh.ScheduleStatusHeartbeat()
-	eventually(t, "the replica of c catches up with a", func() bool { return c.replica.Position() == 5 })
+	eventually(t, "the replica of c catches up with a", func() bool { return c.replica.Position().Version == 5 })
 	assert.Equal(t, string(c.replica.Rows()[0].Value), string(large))
 }
 
@@ -193,9 +195,9 @@
 	a.mesh.AddPeer(b.address)
 	a.mesh.ScheduleStatusHeartbeat()
 	eventually(t, "b knows", func() bool {
-		at, ok := b.freshness.Confirmed("t")
+		_, at, ok := b.freshness.Confirmed("t")
 		if ok {
-			assert.Equal(t, b.replica.Position(), uint64(5), "confirmed before the change arrived")
+			assert.Equal(t, b.replica.Position(), replica.Position{Version: 5}, "confirmed before the change arrived")
 		}
 		return ok && at == 7*time.Second
 	})
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -96,6 +96,7 @@
 	// keysUnconfirmed is true while this VM cannot tell whether API keys were revoked.
 	keysUnconfirmed atomic.Bool
 	stopping        atomic.Bool
+	alignedEpoch    uint64                    // used by runPeriodicChecks only
 	lastOutage      atomic.Pointer[time.Time] // when a store outage was last observed
 	callerServer    *http.Server
 	readinessServer *http.Server
@@ -123,18 +124,20 @@
 	p.settings.Store(o.Settings)
 	p.viewBuilder = newViewBuilder(o.Log, o.Decoder, p.viewHolder, p.recoveringFromOutage)
 	p.operatorSyncer = &storesync.Syncer{Store: o.Store, Replica: replica.New(o.Tables.Operator), Log: o.Log, OnChange: p.operatorChanged,
-		ShouldWatch: func() bool { return p.shouldWatch(operatorTableReaders) }, Freshness: freshness.New()}
+		ShouldWatch: func() bool { return p.shouldWatch(operatorTableReaders) }, Freshness: freshness.New(),
+		OnEpoch: p.viewBuilder.operatorTableRestored}
 	if o.Settings.Revocation.Strict {
 		p.operatorSyncer.LongPoll = p.configurationPollInterval
 	}
 	p.targetsSyncer = &storesync.Syncer{Store: o.Store, Replica: replica.New(o.Tables.Targets), Log: o.Log, OnChange: p.targetsChanged,
-		ShouldWatch: func() bool { return p.shouldWatch(targetsTableReaders) }, MinWatchInterval: minTargetsReadInterval, Freshness: freshness.New()}
+		ShouldWatch: func() bool { return p.shouldWatch(targetsTableReaders) }, MinWatchInterval: minTargetsReadInterval, Freshness: freshness.New(),
+		OnEpoch: p.viewBuilder.targetsTableRestored}
 	mesh, err := peers.New(peers.Options{
 		Self: peers.Self{Name: o.Settings.VM.Name, Zone: o.Settings.VM.Zone,
 			HeartbeatAddress: o.Settings.Listen.Datagrams, LinkAddress: o.Settings.Listen.Links},
 		Log: o.Log, Registry: p.registry, Replicas: []*replica.Replica{p.operatorSyncer.Replica, p.targetsSyncer.Replica},
 		ApplyDelta: p.applyDelta, Refresh: p.refresh, LastStoreContact: p.lastStoreContact, StoreUnreachable: p.storeUnreachable, Reachability: p.health,
-		Confirmed: p.confirmed, Confirm: p.confirm, Quarantine: p.quarantine,
+		Confirmed: p.confirmed, Confirm: p.confirm, ObserveBase: p.observeBase, Quarantine: p.quarantine,
 	})
 	if err != nil {
 		return nil, err
@@ -166,6 +169,7 @@
 	p.metrics.NewGauge("oriole_peers_heard", func() float64 { return float64(p.mesh.Status().LiveVMs - 1) })
 	p.metrics.NewGauge("oriole_store_age_seconds", func() float64 { return p.mesh.Status().StoreAge.Seconds() })
 	p.metrics.NewGauge("oriole_configuration_age_seconds", func() float64 { return p.operatorSyncer.Freshness.Age().Seconds() })
+	p.metrics.NewGauge("oriole_store_epoch", func() float64 { return float64(p.storeEpoch()) })
 	p.metrics.NewGauge("oriole_targets", func() float64 { return float64(len(p.viewHolder.Get().Targets())) })
 	p.metrics.NewGauge("oriole_quarantined_parts", func() float64 { return float64(p.quarantine.Active()) })
 	if droppedLogLines != nil {
@@ -200,20 +204,50 @@
 	return nil
 }
 
-// confirmed returns up to which time of the store's clock the replica of a table is
-// known to be current.
-func (p *Process) confirmed(table string) (time.Duration, bool) {
+// storeEpoch returns the latest epoch of the store that this VM knows.
+func (p *Process) storeEpoch() uint64 {
+	epoch := uint64(0)
+	for _, s := range p.syncers() {
+		epoch = max(epoch, s.Replica.Position().Epoch)
+	}
+	return epoch
+}
+
+// alignTables lets the tables share what one of them has shown of a new epoch of the store:
+// that the store answers again, and its lowest version.
+func (p *Process) alignTables() {
+	epoch := p.storeEpoch()
+	for _, s := range p.syncers() {
+		if at := s.Replica.Position(); at.Epoch == epoch {
+			p.observeBase(epoch, s.Replica.Base())
+		} else if p.alignedEpoch != epoch {
+			s.Retry()
+		}
+	}
+	p.alignedEpoch = epoch
+}
+
+// confirmed returns up to which time of the store's clock in an epoch the replica of a
+// table is known to be current.
+func (p *Process) confirmed(table string) (uint64, time.Duration, bool) {
 	s := p.syncerOf(table)
 	if s == nil {
-		return 0, false
+		return 0, 0, false
 	}
-	return s.Freshness.Confirmed()
+	return s.Confirmed()
 }
 
-// confirm records what another VM knows about a version of a table.
-func (p *Process) confirm(table string, version uint64, storeTime time.Duration) {
+// confirm records what another VM knows about a position of a table.
+func (p *Process) confirm(table string, to replica.Position, storeTime time.Duration) {
 	if s := p.syncerOf(table); s != nil {
-		s.Confirm(version, storeTime)
+		s.Confirm(to, storeTime)
+	}
+}
+
+// observeBase records the lowest version of the store that another VM knows of an epoch.
+func (p *Process) observeBase(epoch, base uint64) {
+	for _, s := range p.syncers() {
+		s.ObserveBase(epoch, base)
 	}
 }
 
@@ -356,6 +390,8 @@
 			p.lastOutage.Store(&now)
 		}
 		p.viewBuilder.removeMissingTargets()
+		p.viewBuilder.applyDeferred()
+		p.alignTables()
 		p.updateIsolation()
 		p.updateKeysUnconfirmed()
 		p.handler.RecordServed(time.Now())
--- a/internal/process/views.go
+++ b/internal/process/views.go
@@ -40,12 +40,18 @@
 	zonesOutOfService map[string]bool
 	targets           map[string]*topology.Target
 	missingSince      map[string]time.Time // when the row of a target disappeared around an outage
+	// configEpoch is the epoch of the store from which config was taken.
+	configEpoch uint64
+	// deferred holds, by key, rows of the zones and of the targets that changed only
+	// because the store was restored, until they are written again or their time is over.
+	deferred deferredRows
 }
 
 func newViewBuilder(log *slog.Logger, decoder Decoder, holder *topology.Holder, recoveringFromOutage func() bool) *viewBuilder {
 	return &viewBuilder{
 		log: log, decoder: decoder, viewHolder: holder, recoveringFromOutage: recoveringFromOutage,
 		zonesOutOfService: map[string]bool{}, targets: map[string]*topology.Target{}, missingSince: map[string]time.Time{},
+		deferred: deferredRows{},
 	}
 }
 
@@ -54,17 +60,25 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range changed {
-		if zone, ok := v.decoder.ZoneOutOfService(r); ok {
-			v.setZoneOutOfService(zone, !r.Deleted, r.Version)
-			continue
-		}
-		if !r.Deleted {
-			v.setConfig(r)
-		}
+		v.operatorRowChanged(r)
 	}
 	v.publish()
 }
 
+// operatorRowChanged applies a change of the operator table. The caller must hold mu.
+func (v *viewBuilder) operatorRowChanged(r replica.Record) {
+	zone, ok := v.decoder.ZoneOutOfService(r)
+	switch {
+	case ok && r.Restored:
+		v.deferRow(operatorRow, r, restoredZoneDelay)
+	case ok:
+		v.deferred.remove(operatorRow, r.Key)
+		v.setZoneOutOfService(zone, !r.Deleted, r.Version)
+	case !r.Deleted:
+		v.setConfig(r)
+	}
+}
+
 func (v *viewBuilder) setZoneOutOfService(zone string, outOfService bool, version uint64) {
 	if v.zonesOutOfService[zone] == outOfService {
 		return
@@ -83,45 +97,64 @@
 		v.log.Error("configuration not taken; keeping the active one", "row_version", r.Version, "error", err)
 		return
 	}
-	if !ok || v.config != nil && config.Version < v.config.Version {
+	if !ok {
 		return
 	}
-	v.log.Info("configuration activated", "version", config.Version, "row_version", r.Version,
+	if v.config != nil && config.Version < v.config.Version && !v.writtenLater(r) {
+		v.log.Info("older configuration not taken", "version", config.Version, "active_version", v.config.Version,
+			"epoch", r.Epoch, "row_version", r.Version, "restored", r.Restored)
+		return
+	}
+	v.log.Info("configuration activated", "version", config.Version, "epoch", r.Epoch, "row_version", r.Version,
 		"routes", len(config.Routes), "services", len(config.Services), "accounts", len(config.Accounts))
-	v.config = config
+	v.config, v.configEpoch = config, r.Epoch
+}
+
+// writtenLater reports whether a configuration was written after the store had lost the
+// active one. Its number may then be lower, because the operator may use again a number
+// that was lost.
+func (v *viewBuilder) writtenLater(r replica.Record) bool {
+	return r.Epoch > v.configEpoch && !r.Restored
 }
 
 // targetsChanged applies changes of the targets table.
 func (v *viewBuilder) targetsChanged(changed []replica.Record) {
-	now := time.Now()
-	recovering := v.recoveringFromOutage()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range changed {
-		if r.Deleted {
-			v.removeTarget(r, recovering, now)
-			continue
-		}
-		delete(v.missingSince, r.Key)
-		t, err := v.decoder.Target(r, now)
-		if err != nil {
-			v.log.Warn("target row ignored", "row_version", r.Version, "error", err)
-			delete(v.targets, r.Key)
-			continue
-		}
-		v.log.Info("target known", "target", t.ID, "service", t.Service, "zone", t.Zone, "draining", t.Draining,
-			"cold_for", max(t.ColdUntil.Sub(now), 0), "row_version", r.Version)
-		v.targets[t.ID] = t
+		v.targetRowChanged(r, time.Now())
 	}
 	v.publish()
 }
 
-func (v *viewBuilder) removeTarget(r replica.Record, recovering bool, now time.Time) {
+// targetRowChanged applies a change of the targets table. The caller must hold mu.
+func (v *viewBuilder) targetRowChanged(r replica.Record, now time.Time) {
+	if r.Restored && v.keepTarget(r, now) {
+		return
+	}
+	v.deferred.remove(targetRow, r.Key)
+	if r.Deleted {
+		v.removeTarget(r, now)
+		return
+	}
+	delete(v.missingSince, r.Key)
+	t, err := v.decoder.Target(r, now)
+	if err != nil {
+		v.log.Warn("target row ignored", "row_version", r.Version, "error", err)
+		delete(v.targets, r.Key)
+		return
+	}
+	v.log.Info("target known", "target", t.ID, "service", t.Service, "zone", t.Zone, "draining", t.Draining,
+		"cold_for", max(t.ColdUntil.Sub(now), 0), "row_version", r.Version)
+	v.targets[t.ID] = t
+}
+
+func (v *viewBuilder) removeTarget(r replica.Record, now time.Time) {
 	t := v.targets[r.Key]
 	if t == nil {
 		return
 	}
-	if recovering && !t.Draining && v.mostTargetsMissing(t.Service) {
+	if v.recoveringFromOutage() && !t.Draining && v.mostTargetsMissing(t.Service) {
 		v.log.Info("target row missing after a store outage; keeping the target for now", "target", r.Key, "row_version", r.Version)
 		v.missingSince[r.Key] = now
 		return
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,22 +19,22 @@
 	assert.Equal(t, len(changed), 1)
 	_, fits = c.Apply(Delta{Table: "t", From: 7, To: 9})
 	assert.Assert(t, !fits)
-	assert.Equal(t, c.Position(), uint64(5))
+	assert.Equal(t, c.Position(), Position{Version: 5})
 	changed, fits = c.Apply(Delta{Table: "t", From: 0, To: 3, Records: []Record{{Key: "a", Version: 3, Deleted: true}}})
 	assert.Assert(t, fits)
 	assert.Equal(t, len(changed), 0)
-	assert.Equal(t, c.Position(), uint64(5))
+	assert.Equal(t, c.Position(), Position{Version: 5})
 }
 
 // Guards against rows that remain although a listing lacks them, and against a
 // stale listing that is applied.
 func TestReplace(t *testing.T) {
 	c := New("t")
-	c.Replace([]Record{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, 4)
-	changed, fits := c.Replace([]Record{{Key: "b", Version: 2}}, 6)
+	c.Replace([]Record{{Key: "a", Version: 1}, {Key: "b", Version: 2}}, Position{Version: 4})
+	changed, fits := c.Replace([]Record{{Key: "b", Version: 2}}, Position{Version: 6})
 	assert.Assert(t, fits)
 	assert.DeepEqual(t, changed, []Record{{Key: "a", Version: 6, Deleted: true}})
-	_, fits = c.Replace(nil, 5)
+	_, fits = c.Replace(nil, Position{Version: 5})
 	assert.Assert(t, !fits)
 	assert.Equal(t, len(c.Rows()), 1)
 }
@@ -47,7 +49,7 @@
 			r := Record{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: version, Deleted: rapid.Bool().Draw(t, "removed")}
 			origin.Apply(Delta{From: version - 1, To: version, Records: []Record{r}})
 			if rapid.Bool().Draw(t, "fetch") {
-				other.Apply(origin.ChangesSince(rapid.Uint64Range(0, other.Position()).Draw(t, "from")))
+				other.Apply(origin.ChangesSince(Position{Version: rapid.Uint64Range(0, other.Position().Version).Draw(t, "from")}))
 			}
 		}
 		other.Apply(origin.ChangesSince(other.Position()))
@@ -63,7 +65,7 @@
 	stale := New("t")
 	stale.Apply(Delta{To: 5, Records: []Record{{Key: "left", Value: []byte("x"), Version: 3}, {Key: "stays", Value: []byte("y"), Version: 4}}})
 	fresh := New("t")
-	fresh.Replace([]Record{{Key: "stays", Value: []byte("y"), Version: 4}, {Key: "new", Value: []byte("z"), Version: 7}}, 8)
+	fresh.Replace([]Record{{Key: "stays", Value: []byte("y"), Version: 4}, {Key: "new", Value: []byte("z"), Version: 7}}, Position{Version: 8})
 
 	changed, fits := stale.Apply(fresh.ChangesSince(stale.Position()))
 	assert.Assert(t, fits)
@@ -76,3 +78,121 @@
 	third.Apply(stale.ChangesSince(third.Position()))
 	assert.DeepEqual(t, third.Rows(), fresh.Rows())
 }
+
+// Guards against a replica that refuses the listing of a restored store, or skips a row
+// that was written again under a version that was used before.
+func TestRestoredStoreIsListed(t *testing.T) {
+	r := New("t")
+	r.Replace([]Record{
+		{Key: "again", Value: []byte("new"), Version: 27}, {Key: "reused", Value: []byte("old"), Version: 26},
+		{Key: "lost", Value: []byte("x"), Version: 25}, {Key: "same", Value: []byte("y"), Version: 3},
+	}, Position{Epoch: 1, Version: 27})
+	changed, fits := r.Replace([]Record{
+		{Key: "again", Value: []byte("old"), Version: 20}, {Key: "reused", Value: []byte("new"), Version: 26}, {Key: "same", Value: []byte("y"), Version: 3},
+	}, Position{Epoch: 2, Version: 26})
+	assert.Assert(t, fits)
+	assert.Equal(t, r.Position(), Position{Epoch: 2, Version: 26})
+	assert.DeepEqual(t, changed, []Record{
+		{Key: "again", Value: []byte("old"), Version: 20, Epoch: 2, Restored: true},
+		{Key: "reused", Value: []byte("new"), Version: 26, Epoch: 2},
+		{Key: "lost", Version: 26, Epoch: 2, Deleted: true, Restored: true},
+	})
+
+	changed, fits = r.Apply(Delta{Epoch: 2, From: 26, To: 27, Records: []Record{{Key: "again", Value: []byte("new"), Version: 27}}})
+	assert.Assert(t, fits)
+	assert.DeepEqual(t, changed, []Record{{Key: "again", Value: []byte("new"), Version: 27, Epoch: 2}})
+
+	_, fits = r.Replace(nil, Position{Epoch: 1, Version: 99})
+	assert.Assert(t, !fits, "a late response of the epoch before was taken")
+	_, fits = r.Apply(Delta{Epoch: 1, From: 27, To: 99})
+	assert.Assert(t, !fits, "changes of the epoch before were taken")
+	_, fits = r.Apply(Delta{Epoch: 3, From: 27, To: 28})
+	assert.Assert(t, !fits, "changes of a later epoch were taken without a listing")
+}
+
+// Guards against VMs that disagree on whether a row was written after the store was
+// restored: a VM that listed the table late learns from another one which versions are new.
+func TestBaseOfEpochIsShared(t *testing.T) {
+	lost := []Record{{Key: "a", Value: []byte("lost"), Version: 30}}
+	early, late := New("t"), New("t")
+	for _, r := range []*Replica{early, late} {
+		r.Replace(lost, Position{Epoch: 1, Version: 30})
+	}
+	early.Replace(nil, Position{Epoch: 2, Version: 20})
+	written := Record{Key: "a", Value: []byte("written"), Version: 21}
+	early.Apply(Delta{Epoch: 2, From: 20, To: 21, Records: []Record{written}})
+	changed, _ := late.Replace([]Record{written}, Position{Epoch: 2, Version: 21})
+	assert.Assert(t, changed[0].Restored)
+
+	again := late.ObserveBase(2, early.Base())
+	written.Epoch = 2
+	assert.DeepEqual(t, again, []Record{written})
+	assert.Equal(t, len(late.ObserveBase(2, early.Base())), 0)
+
+	third := New("t")
+	third.Replace(lost, Position{Epoch: 1, Version: 30})
+	changed, fits := third.Apply(early.ChangesSince(third.Position()))
+	assert.Assert(t, fits)
+	assert.DeepEqual(t, changed, []Record{written})
+}
+
+// Guards against replicas that differ for good after the store was restored, whatever they
+// knew before and from whom they hear of it.
+func TestReplicasConvergeAcrossEpochs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newHistory()
+		replicas := []*Replica{New("t"), New("t"), New("t")}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			r := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				store.write(rapid.StringMatching("[a-d]").Draw(t, "key"), rapid.Bool().Draw(t, "delete"))
+			case 1:
+				store.restore(rapid.Uint64Range(0, store.at.Version).Draw(t, "version"))
+			case 2:
+				r.Replace(store.rows(), store.at)
+			case 3:
+				r.Apply(replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "peer")].ChangesSince(r.Position()))
+			}
+		}
+		replicas[0].Replace(store.rows(), store.at)
+		for _, r := range replicas {
+			r.Apply(replicas[0].ChangesSince(r.Position()))
+			assert.DeepEqual(t, r.Rows(), replicas[0].Rows())
+			assert.DeepEqual(t, r.Rows(), store.rows())
+			assert.Equal(t, r.Position(), store.at)
+		}
+	})
+}
+
+// history is a store that can be restored from a copy of each of its versions.
+type history struct {
+	at     Position
+	copies map[uint64]map[string]Record // by version
+	writes int
+}
+
+func newHistory() *history {
+	return &history{at: Position{Epoch: 1}, copies: map[uint64]map[string]Record{0: {}}}
+}
+
+func (h *history) write(key string, deleted bool) {
+	next := maps.Clone(h.copies[h.at.Version])
+	h.at.Version++
+	h.writes++
+	delete(next, key)
+	if !deleted {
+		next[key] = Record{Key: key, Value: []byte(fmt.Sprint(h.writes)), Version: h.at.Version}
+	}
+	h.copies[h.at.Version] = next
+}
+
+func (h *history) restore(version uint64) { h.at = Position{Epoch: h.at.Epoch + 1, Version: version} }
+
+func (h *history) rows() []Record {
+	rows := make([]Record, 0)
+	for _, key := range slices.Sorted(maps.Keys(h.copies[h.at.Version])) {
+		rows = append(rows, h.copies[h.at.Version][key])
+	}
+	return rows
+}
--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -21,6 +21,10 @@
 // table must be listed again.
 var ErrCompacted = errors.New("the store has compacted the requested changes; list the table again")
 
+// errEpochChanged reports that the store answered in another epoch than the one in which
+// the requested version was assigned. The table must be listed again.
+var errEpochChanged = errors.New("the store has begun another epoch; list the table again")
+
 // StatusError reports that the store rejected a call with an HTTP status.
 type StatusError struct {
 	Status int
@@ -83,6 +87,9 @@
 	Log     *slog.Logger
 	// OnChange is called with changed records.
 	OnChange func([]replica.Record)
+	// OnEpoch is called before OnChange when the replica has moved on to a later epoch
+	// of the store. Nil means that nothing is to be done.
+	OnEpoch func()
 	// ShouldWatch reports whether this VM watches the store itself. Otherwise it
 	// receives changes from other VMs.
 	ShouldWatch func() bool
@@ -94,22 +101,12 @@
 	LongPoll func() time.Duration
 	// Freshness records up to which time the replica is current.
 	Freshness *freshness.Tracker
-
 	// applying makes a change of the replica and its notification one step, so that the
 	// replica is not confirmed while OnChange has not seen a change yet.
 	applying    sync.Mutex
 	lastContact atomic.Pointer[time.Time] // time of the last response; nil if none
 	failing     atomic.Bool
-	epoch       atomic.Uint64 // of the last response
-}
-
-// observeEpoch logs a response of another epoch of the store than the one before. version
-// is that of the store.
-func (s *Syncer) observeEpoch(epoch, version uint64) {
-	if last := s.epoch.Swap(epoch); last != epoch {
-		s.Log.Warn("store epoch changed", "table", s.Replica.Table(), "epoch", epoch, "last_epoch", last,
-			"store_version", version, "version", s.Replica.Position())
-	}
+	endPause    atomic.Pointer[context.CancelFunc] // of the last pause after a failed call
 }
 
 // Failing reports whether the last call to the store failed.
@@ -140,19 +137,34 @@
 		}
 		if err == nil {
 			if s.failing.Swap(false) {
-				s.Log.Info("store regained", "table", s.Replica.Table(), "version", s.Replica.Position())
+				s.Log.Info("store regained", "table", s.Replica.Table(), "epoch", s.Replica.Position().Epoch, "version", s.Replica.Position().Version)
 			}
 			pause = backoffMin
 			continue
 		}
 		if !s.failing.Swap(true) {
-			s.Log.Warn("store lost", "table", s.Replica.Table(), "version", s.Replica.Position(), "error", err)
+			s.Log.Warn("store lost", "table", s.Replica.Table(), "epoch", s.Replica.Position().Epoch, "version", s.Replica.Position().Version, "error", err)
 		}
-		wait.For(ctx, pause/2+rand.N(pause))
+		s.pause(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, backoffMax)
 	}
 }
 
+// pause waits for d, until ctx ends or until Retry is called.
+func (s *Syncer) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.endPause.Store(&cancel)
+	wait.For(ctx, d)
+}
+
+// Retry ends the pause after a failed call.
+func (s *Syncer) Retry() {
+	if end := s.endPause.Load(); end != nil {
+		(*end)()
+	}
+}
+
 func (s *Syncer) step(ctx context.Context, listed *bool) error {
 	if !*listed {
 		if err := s.list(ctx); err != nil {
@@ -162,14 +174,20 @@
 		return nil
 	}
 	err := s.watch(ctx)
-	if errors.Is(err, ErrCompacted) {
-		s.Log.Info("store history compacted; listing the table", "table", s.Replica.Table(), "version", s.Replica.Position())
+	if needsListing(err) {
+		s.Log.Info("listing the table again", "table", s.Replica.Table(), "epoch", s.Replica.Position().Epoch, "version", s.Replica.Position().Version, "reason", err)
 		*listed = false
 		return nil
 	}
 	return err
 }
 
+// needsListing reports whether an error of a watch means that its changes can be had by
+// listing the table only.
+func needsListing(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, errEpochChanged)
+}
+
 func (s *Syncer) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -178,15 +196,18 @@
 	if err != nil {
 		return err
 	}
-	s.observeEpoch(listing.Epoch, listing.Version)
-	s.recordContact(sentAt, listing.StoreTime)
+	s.recordContact()
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	changed, fits := s.Replica.Replace(listing.Records, listing.Version)
+	to := replica.Position{Epoch: listing.Epoch, Version: listing.Version}
+	before := s.Replica.Position()
+	changed, fits := s.Replica.Replace(listing.Records, to)
 	if !fits {
-		return fmt.Errorf("the store listed %s at version %d, older than the replica at version %d", s.Replica.Table(), listing.Version, s.Replica.Position())
+		return fmt.Errorf("the store listed %s at version %d of epoch %d, older than the replica at version %d of epoch %d",
+			s.Replica.Table(), to.Version, to.Epoch, before.Version, before.Epoch)
 	}
-	s.notify(changed)
+	s.notify(before, changed)
+	s.Freshness.ObserveClock(sentAt, listing.StoreTime)
 	s.Freshness.Confirm(listing.StoreTime)
 	return nil
 }
@@ -206,8 +227,13 @@
 }
 
 // longPoll returns how long the next watch may wait for changes. It does not wait when
-// the replica was not confirmed for long, for example after the VM was suspended.
+// the replica was not confirmed for long, for example after the VM was suspended, nor
+// after a failed call: a restored store that has reached the replica's version again
+// would tell its epoch only at the end of the wait.
 func (s *Syncer) longPoll() time.Duration {
+	if s.failing.Load() {
+		return 0
+	}
 	if s.LongPoll == nil {
 		return defaultLongPoll
 	}
@@ -221,59 +247,108 @@
 // read reads the changes from the store, waits up to longPoll for one, and applies them.
 func (s *Syncer) read(ctx context.Context, longPoll time.Duration) ([]replica.Record, error) {
 	sentAt := freshness.Uptime()
-	changes, err := s.Store.Watch(ctx, s.Replica.Table(), s.Replica.Position(), longPoll)
+	from := s.Replica.Position()
+	changes, err := s.Store.Watch(ctx, s.Replica.Table(), from.Version, longPoll)
 	if err != nil {
 		return nil, err
 	}
-	s.observeEpoch(changes.Epoch, changes.To)
-	s.recordContact(sentAt, changes.StoreTime)
+	s.recordContact()
+	if changes.Epoch != from.Epoch {
+		return nil, errEpochChanged
+	}
 	s.Apply(changes.Delta)
-	s.Confirm(changes.To, changes.StoreTime)
+	s.ObserveClock(changes.Epoch, sentAt, changes.StoreTime)
+	s.Confirm(replica.Position{Epoch: changes.Epoch, Version: changes.To}, changes.StoreTime)
 	return changes.Records, nil
 }
 
-// Confirm records that the table held no changes after a version at a time of the
-// store's clock, if the replica has reached that version.
-func (s *Syncer) Confirm(version uint64, storeTime time.Duration) {
+// Confirm records that the table held no changes after a position at a time of the
+// store's clock, if the replica has reached that position in the same epoch.
+func (s *Syncer) Confirm(to replica.Position, storeTime time.Duration) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	if s.Replica.Position() >= version {
+	if at := s.Replica.Position(); at.Epoch == to.Epoch && at.Version >= to.Version {
 		s.Freshness.Confirm(storeTime)
 	}
 }
 
+// ObserveClock records the store's clock in the response to a call that was sent at sentAt,
+// an uptime. It is ignored if the replica does not belong to the response's epoch.
+func (s *Syncer) ObserveClock(epoch uint64, sentAt, storeTime time.Duration) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if s.Replica.Position().Epoch == epoch {
+		s.Freshness.ObserveClock(sentAt, storeTime)
+	}
+}
+
+// Confirmed returns the time of the store's clock up to which the replica is known to be
+// current, and the epoch to which that time belongs.
+func (s *Syncer) Confirmed() (epoch uint64, storeTime time.Duration, ok bool) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	storeTime, ok = s.Freshness.Confirmed()
+	return s.Replica.Position().Epoch, storeTime, ok
+}
+
 // Refresh reads the current changes from the store without waiting for others.
 func (s *Syncer) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	_, err := s.read(ctx, 0)
-	if errors.Is(err, ErrCompacted) {
+	if needsListing(err) {
 		return s.list(ctx)
 	}
 	return err
 }
 
 // Apply applies changes from the store or from another VM. It ignores changes
-// that leave a gap after the position of the replica.
+// that leave a gap after the position of the replica, and those of an earlier epoch.
 func (s *Syncer) Apply(d replica.Delta) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	changed, fits := s.Replica.Apply(d)
-	if fits {
-		s.notify(changed)
+	before := s.Replica.Position()
+	if changed, fits := s.Replica.Apply(d); fits {
+		s.notify(before, changed)
+	}
+}
+
+// ObserveBase records that the store was at version base in an epoch.
+func (s *Syncer) ObserveBase(epoch, base uint64) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if written := s.Replica.ObserveBase(epoch, base); len(written) > 0 {
+		s.OnChange(written)
 	}
 }
 
-// recordContact records a response of the store to a call that was sent at sentAt, an
-// uptime of the VM.
-func (s *Syncer) recordContact(sentAt, storeTime time.Duration) {
+// recordContact records that the store has answered a call.
+func (s *Syncer) recordContact() {
 	now := time.Now()
 	s.lastContact.Store(&now)
-	s.Freshness.ObserveClock(sentAt, storeTime)
 }
 
-func (s *Syncer) notify(changed []replica.Record) {
+// notify reports changes of the replica since the position before. The caller must hold
+// applying.
+func (s *Syncer) notify(before replica.Position, changed []replica.Record) {
+	if now := s.Replica.Position(); now.Epoch != before.Epoch {
+		s.Log.Warn("store epoch changed", "table", s.Replica.Table(), "epoch", now.Epoch, "version", now.Version, "base", s.Replica.Base(),
+			"last_epoch", before.Epoch, "last_version", before.Version, "changed", len(changed), "restored", countRestored(changed))
+		if before != (replica.Position{}) && s.OnEpoch != nil {
+			s.OnEpoch()
+		}
+	}
 	if len(changed) > 0 {
 		s.OnChange(changed)
 	}
 }
+
+func countRestored(records []replica.Record) int {
+	count := 0
+	for _, r := range records {
+		if r.Restored {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/storesync/storesync_test.go
+++ b/internal/storesync/storesync_test.go
@@ -21,6 +21,7 @@
 	list  func() ([]replica.Record, uint64, error)
 	watch func(after uint64) (replica.Delta, error)
 	lists int
+	epoch uint64
 	// now is the store's clock, 0 if it is not told; longPolls are the times that watches were allowed to wait.
 	now       time.Duration
 	longPolls []time.Duration
@@ -31,7 +32,7 @@
 	defer f.mu.Unlock()
 	f.lists++
 	records, version, err := f.list()
-	return Listing{Records: records, Version: version, StoreTime: f.now}, err
+	return Listing{Records: records, Epoch: f.epoch, Version: version, StoreTime: f.now}, err
 }
 
 func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (Changes, error) {
@@ -39,6 +40,7 @@
 	defer f.mu.Unlock()
 	f.longPolls = append(f.longPolls, wait)
 	d, err := f.watch(after)
+	d.Epoch = f.epoch
 	return Changes{Delta: d, StoreTime: f.now}, err
 }
 
@@ -71,7 +73,7 @@
 	f := newFollower(s, func([]replica.Record) {})
 	f.Run(ctx)
 	assert.Equal(t, len(f.Replica.Rows()), 1)
-	assert.Equal(t, f.Replica.Position(), uint64(9))
+	assert.Equal(t, f.Replica.Position(), replica.Position{Version: 9})
 }
 
 // Guards against a Syncer that reports a working store while its calls fail, and
@@ -132,7 +134,7 @@
 		_, ok := f.Freshness.Confirmed()
 		assert.Assert(t, !ok, "confirmed before OnChange")
 	})
-	f.Confirm(4, 9*time.Second)
+	f.Confirm(replica.Position{Version: 4}, 9*time.Second)
 	_, ok := f.Freshness.Confirmed()
 	assert.Assert(t, !ok, "confirmed by evidence for a later version")
 	s.watch = func(after uint64) (replica.Delta, error) {
@@ -144,7 +146,7 @@
 	assert.Equal(t, at, 10*time.Second)
 	const later = 2 * time.Millisecond // of the store's clock, which goes on
 	time.Sleep(later)
-	f.Confirm(4, 10*time.Second+later)
+	f.Confirm(replica.Position{Version: 4}, 10*time.Second+later)
 	at, _ = f.Freshness.Confirmed()
 	assert.Equal(t, at, 10*time.Second+later)
 }
@@ -168,3 +170,35 @@
 		assert.Equal(t, s.longPolls[0], want, "confirmed at %s", confirmedAt)
 	}
 }
+
+// Guards against changes that never arrive after the store was restored from an older copy:
+// an answer of another epoch is not applied to the replica, the table is listed instead.
+func TestListAfterRestore(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &fakeStore{epoch: 1}
+	s.list = func() ([]replica.Record, uint64, error) {
+		if s.epoch == 1 {
+			return []replica.Record{{Key: "a", Value: []byte("lost"), Version: 9}}, 9, nil
+		}
+		return []replica.Record{{Key: "a", Value: []byte("old"), Version: 3}}, 5, nil
+	}
+	s.watch = func(after uint64) (replica.Delta, error) {
+		if s.epoch == 2 && after == 5 {
+			cancel()
+			return replica.Delta{}, ctx.Err()
+		}
+		s.epoch = 2 // the counter has passed version 9 already
+		return replica.Delta{From: after, To: 12, Records: []replica.Record{{Key: "b", Version: 12}}}, nil
+	}
+	var got []replica.Record
+	f := newFollower(s, func(changed []replica.Record) { got = append(got, changed...) })
+	epochs := 0
+	f.OnEpoch = func() { epochs++ }
+	f.Run(ctx)
+	assert.Equal(t, f.Replica.Position(), replica.Position{Epoch: 2, Version: 5})
+	assert.Equal(t, epochs, 1, "the first epoch is no return")
+	assert.DeepEqual(t, got, []replica.Record{
+		{Key: "a", Value: []byte("lost"), Version: 9, Epoch: 1},
+		{Key: "a", Value: []byte("old"), Version: 3, Epoch: 2, Restored: true},
+	})
+}
