A VM registers again in each epoch of the store

What was seen: after the store had come back from an older copy, the rows of VMs that had registered in the lost seconds were missing; a VM that started later could not find them but by its seeds.

Cause: a VM wrote its row once, at its start. Change: it writes it in each epoch that it hears of, and again if it does not find the row after the write.

--- a/internal/process/join.go
+++ b/internal/process/join.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/oriolefront/oriolefront/internal/replica"
 	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
@@ -23,16 +25,19 @@
 	Zone             string `json:"zone"`
 }
 
-// join registers this VM in the store and discovers the other VMs.
+// join registers this VM in the store and discovers the other VMs. It registers again in
+// each epoch of the store, because the row may be lost when the store is restored.
 func (p *Process) join(ctx context.Context) {
 	p.addSeeds()
 	for ctx.Err() == nil {
-		err := p.register(ctx)
-		if err == nil {
-			return
+		epoch, err := p.register(ctx)
+		if err != nil {
+			p.log.Warn("failed to register in the store; retrying", "error", err)
+			wait.For(ctx, joinRetryInterval)
+			continue
+		}
+		for p.storeEpoch() <= epoch && wait.For(ctx, joinRetryInterval) {
 		}
-		p.log.Warn("failed to register in the store; retrying", "error", err)
-		wait.For(ctx, joinRetryInterval)
 	}
 }
 
@@ -50,19 +55,25 @@
 	}
 }
 
-func (p *Process) register(ctx context.Context) error {
+// register writes this VM's row and adds the VMs in the store as peers. It returns the
+// epoch of the store in which the row was there.
+func (p *Process) register(ctx context.Context) (epoch uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	row, err := json.Marshal(vmRow{HeartbeatAddress: p.listenAddresses.Datagrams, LinkAddress: p.listenAddresses.Links, Zone: p.vm.Zone})
 	if err != nil {
-		return fmt.Errorf("encode the VM's row: %w", err)
+		return 0, fmt.Errorf("encode the VM's row: %w", err)
 	}
 	if err := p.store.Put(ctx, p.tables.VMs, p.vm.Name, row); err != nil {
-		return fmt.Errorf("write the VM's row: %w", err)
+		return 0, fmt.Errorf("write the VM's row: %w", err)
 	}
 	listing, err := p.store.List(ctx, p.tables.VMs)
 	if err != nil {
-		return fmt.Errorf("list the VMs: %w", err)
+		return 0, fmt.Errorf("list the VMs: %w", err)
+	}
+	registered := slices.ContainsFunc(listing.Records, func(r replica.Record) bool { return r.Key == p.vm.Name })
+	if !registered {
+		return 0, fmt.Errorf("the store lacks the VM's row in epoch %d after it was written; the store may have been restored meanwhile", listing.Epoch)
 	}
 	for _, r := range listing.Records {
 		var v vmRow
@@ -72,7 +83,7 @@
 		}
 		p.mesh.AddPeer(v.HeartbeatAddress)
 	}
-	p.log.Info("registered in the store", "vms", len(listing.Records))
+	p.log.Info("registered in the store", "epoch", listing.Epoch, "vms", len(listing.Records))
 	p.mesh.ScheduleStatusHeartbeat()
-	return nil
+	return listing.Epoch, nil
 }
