Bind evidence that API keys are current to the store's epoch

What callers would have got: under strict revocation, a key that was revoked in the seconds that the store lost could be accepted again by a VM that had not heard of it, on the evidence of the restored store; and evidence from before the return was compared with a clock of which nothing says that it goes on.

Cause: a time of the store's clock counted as evidence whatever history it belonged to. Change: evidence and clock belong to an epoch; what was known before goes on aging by the VM's own clock; for 2 s after a return no answer of the store counts, because the operator's writes may still be missing. A VM that the store turns away learns the clock of the new epoch with the rows that it fetches from another VM.

Evidence: TestKeyRevokedBeforeRestore and TestKeyRevokedAfterRestore fail before (keys are refused for good at the VM that the store turns away) and pass with it; TestEvidenceAgesAcrossEpochs and TestEvidenceIsSuspended are new.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -1,6 +1,7 @@
 // Package freshness tracks up to which time a replica of a table of the store is known
 // to be current. Times are those of the store's steady clock, so that evidence can be
-// passed on between VMs whose clocks differ, and a delayed message only looks old.
+// passed on between VMs whose clocks differ, and a delayed message only looks old. The
+// clock is not assumed to go on when the store begins a new epoch.
 package freshness
 
 import (
@@ -37,11 +38,28 @@
 	// confirmed is true once there is evidence; confirmedAt is the latest.
 	confirmed   bool
 	confirmedAt time.Duration
+	// carried is true if there was evidence in an earlier epoch of the store. carriedAt
+	// is then the latest, as an uptime.
+	carried   bool
+	carriedAt time.Duration
 }
 
 // New returns a Tracker without evidence.
 func New() *Tracker { return &Tracker{uptime: Uptime} }
 
+// BeginEpoch records that the store has begun a new epoch: times of its clock from before
+// cannot be compared with later ones. The evidence from before goes on aging.
+func (t *Tracker) BeginEpoch() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.clockKnown && t.confirmed && t.possible(t.confirmedAt) {
+		if at := t.confirmedAt - t.offset; !t.carried || at > t.carriedAt {
+			t.carried, t.carriedAt = true, at
+		}
+	}
+	t.clockKnown, t.offset, t.confirmed, t.confirmedAt = false, 0, false, 0
+}
+
 // ObserveClock records that the response to a call sent at sentAt, an Uptime, showed the
 // store's clock at storeTime. The store's clock is never underestimated, because the
 // response was made after the call was sent. A response without a time is ignored.
@@ -57,6 +75,13 @@
 	}
 }
 
+// Clock returns an upper bound of the store's clock now, if it is known.
+func (t *Tracker) Clock() (storeTime time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.uptime() + t.offset, t.clockKnown
+}
+
 // Confirm records that the replica held all changes up to storeTime. A time that is missing,
 // or that the store's clock cannot have reached, is ignored.
 func (t *Tracker) Confirm(storeTime time.Duration) {
@@ -91,8 +116,12 @@
 func (t *Tracker) Age() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.confirmed || !t.clockKnown || !t.possible(t.confirmedAt) {
-		return Unknown
+	age := Unknown
+	if t.carried {
+		age = t.uptime() - t.carriedAt
+	}
+	if t.confirmed && t.clockKnown && t.possible(t.confirmedAt) {
+		age = min(age, t.uptime()+t.offset-t.confirmedAt)
 	}
-	return t.uptime() + t.offset - t.confirmedAt
+	return age
 }
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -69,3 +69,23 @@
 		}
 	})
 }
+
+// Guards against evidence of an earlier epoch of the store that counts as new, or is lost:
+// the clock of the restored store may show another time.
+func TestEvidenceAgesAcrossEpochs(t *testing.T) {
+	for _, clock := range []time.Duration{time.Second, 5 * time.Second, time.Hour} {
+		now := 100 * time.Second
+		tracker := New()
+		tracker.uptime = func() time.Duration { return now }
+		tracker.ObserveClock(now, 5*time.Second)
+		tracker.Confirm(5 * time.Second)
+		now += 3 * time.Second
+		tracker.BeginEpoch()
+		tracker.ObserveClock(now, clock)
+		assert.Equal(t, tracker.Age(), 3*time.Second)
+		_, confirmed := tracker.Confirmed()
+		assert.Assert(t, !confirmed, "evidence of the epoch before is passed on")
+		tracker.Confirm(clock)
+		assert.Equal(t, tracker.Age(), time.Duration(0))
+	}
+}
--- a/internal/peers/fetch.go
+++ b/internal/peers/fetch.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/oriolefront/oriolefront/internal/freshness"
 	"github.com/oriolefront/oriolefront/internal/replica"
 	"github.com/oriolefront/oriolefront/internal/wait"
 )
@@ -101,6 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var reply changesReply
+	sentAt := freshness.Uptime()
 	from := c.Position()
 	request := changesRequest{Table: c.Table(), Epoch: from.Epoch, After: from.Version}
 	if err := m.client.Call(ctx, source.LinkAddress, kindChanges, request, &reply); err != nil {
@@ -111,6 +113,9 @@
 		return err
 	}
 	m.applyDelta(delta)
+	if reply.StoreClockMs > 0 {
+		m.observeClock(c.Table(), reply.Epoch, sentAt, time.Duration(reply.StoreClockMs)*time.Millisecond)
+	}
 	m.log.Info("changes fetched from peer", "peer", source.Name, "table", c.Table(), "from", from.Version,
 		"to", delta.To, "epoch", delta.Epoch, "records", len(delta.Records), "bytes", len(reply.Delta))
 	return nil
@@ -127,5 +132,12 @@
 		return nil, fmt.Errorf("table %q is not copied here", request.Table)
 	}
 	data, err := encodeDelta(c.ChangesSince(replica.Position{Epoch: request.Epoch, Version: request.After}))
-	return changesReply{Delta: data}, err
+	if err != nil {
+		return nil, err
+	}
+	reply := changesReply{Delta: data}
+	if epoch, storeTime, ok := m.clock(request.Table); ok {
+		reply.Epoch, reply.StoreClockMs = epoch, storeTime.Milliseconds()+1 // rounded up
+	}
+	return reply, nil
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -29,6 +29,11 @@
 // with little bandwidth.
 type changesReply struct {
 	Delta []byte `msgpack:"z"`
+	// Epoch and StoreClockMs are an upper bound of the store's steady clock when the
+	// response was made, in milliseconds, and its epoch; StoreClockMs is 0 if unknown. A
+	// VM that the store does not answer learns the clock from it.
+	Epoch        uint64 `msgpack:"e,omitempty"`
+	StoreClockMs int64  `msgpack:"k,omitempty"`
 }
 
 // maxDeltaBytes limits the decompressed size of a delta.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -66,6 +66,8 @@
 	confirmed        func(table string) (epoch uint64, storeTime time.Duration, ok bool)
 	confirm          func(table string, to replica.Position, storeTime time.Duration)
 	observeBase      func(epoch, base uint64)
+	clock            func(table string) (epoch uint64, storeTime time.Duration, ok bool)
+	observeClock     func(table string, epoch uint64, sentAt, storeTime time.Duration)
 	quarantine       *quarantine.Detector
 
 	conn       *net.UDPConn
@@ -131,6 +133,10 @@
 	Confirm   func(table string, to replica.Position, storeTime time.Duration)
 	// ObserveBase records the lowest version of the store that another VM knows of an epoch.
 	ObserveBase func(epoch, base uint64)
+	// Clock returns an upper bound of the store's clock in an epoch. ObserveClock records
+	// that of another VM in the response to a request that was sent at sentAt, an uptime.
+	Clock        func(table string) (epoch uint64, storeTime time.Duration, ok bool)
+	ObserveClock func(table string, epoch uint64, sentAt, storeTime time.Duration)
 	// Quarantine is told to the other VMs, and learns from them.
 	Quarantine *quarantine.Detector
 }
@@ -147,7 +153,7 @@
 	}
 	m := &Mesh{
 		self: o.Self, log: o.Log, registry: o.Registry, applyDelta: o.ApplyDelta, refresh: o.Refresh, lastStoreContact: o.LastStoreContact, storeUnreachable: o.StoreUnreachable, reachability: o.Reachability,
-		confirmed: o.Confirmed, confirm: o.Confirm, observeBase: o.ObserveBase, quarantine: o.Quarantine,
+		confirmed: o.Confirmed, confirm: o.Confirm, observeBase: o.ObserveBase, clock: o.Clock, observeClock: o.ObserveClock, quarantine: o.Quarantine,
 		replicas: map[string]*replica.Replica{}, conn: conn, instanceID: rand.Uint64(),
 		client: link.NewClient(link.PrivateNetwork(), o.Log), server: link.NewServer(link.PrivateNetwork(), o.Log),
 		wake: make(chan struct{}, 1), peers: map[string]*peer{}, fetching: map[string]bool{},
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -75,7 +75,9 @@
 				n.freshness.Confirm(storeTime)
 			}
 		},
-		ObserveBase: func(epoch, base uint64) { n.replica.ObserveBase(epoch, base) },
+		ObserveBase:  func(epoch, base uint64) { n.replica.ObserveBase(epoch, base) },
+		Clock:        func(string) (uint64, time.Duration, bool) { return 0, 0, false },
+		ObserveClock: func(string, uint64, time.Duration, time.Duration) {},
 	})
 	assert.NilError(t, err)
 	n.registry.OnChange = n.mesh.ScheduleHeartbeat
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -125,7 +125,7 @@
 	p.viewBuilder = newViewBuilder(o.Log, o.Decoder, p.viewHolder, p.recoveringFromOutage)
 	p.operatorSyncer = &storesync.Syncer{Store: o.Store, Replica: replica.New(o.Tables.Operator), Log: o.Log, OnChange: p.operatorChanged,
 		ShouldWatch: func() bool { return p.shouldWatch(operatorTableReaders) }, Freshness: freshness.New(),
-		OnEpoch: p.viewBuilder.operatorTableRestored}
+		OnEpoch: p.viewBuilder.operatorTableRestored, EvidenceSuspended: p.viewBuilder.awaitingOperator}
 	if o.Settings.Revocation.Strict {
 		p.operatorSyncer.LongPoll = p.configurationPollInterval
 	}
@@ -137,7 +137,7 @@
 			HeartbeatAddress: o.Settings.Listen.Datagrams, LinkAddress: o.Settings.Listen.Links},
 		Log: o.Log, Registry: p.registry, Replicas: []*replica.Replica{p.operatorSyncer.Replica, p.targetsSyncer.Replica},
 		ApplyDelta: p.applyDelta, Refresh: p.refresh, LastStoreContact: p.lastStoreContact, StoreUnreachable: p.storeUnreachable, Reachability: p.health,
-		Confirmed: p.confirmed, Confirm: p.confirm, ObserveBase: p.observeBase, Quarantine: p.quarantine,
+		Confirmed: p.confirmed, Confirm: p.confirm, ObserveBase: p.observeBase, Clock: p.clock, ObserveClock: p.observeClock, Quarantine: p.quarantine,
 	})
 	if err != nil {
 		return nil, err
@@ -244,6 +244,22 @@
 	}
 }
 
+// clock returns an upper bound of the store's clock in an epoch.
+func (p *Process) clock(table string) (uint64, time.Duration, bool) {
+	s := p.syncerOf(table)
+	if s == nil {
+		return 0, 0, false
+	}
+	return s.Clock()
+}
+
+// observeClock records another VM's bound of the store's clock.
+func (p *Process) observeClock(table string, epoch uint64, sentAt, storeTime time.Duration) {
+	if s := p.syncerOf(table); s != nil {
+		s.ObserveClock(epoch, sentAt, storeTime)
+	}
+}
+
 // observeBase records the lowest version of the store that another VM knows of an epoch.
 func (p *Process) observeBase(epoch, base uint64) {
 	for _, s := range p.syncers() {
--- a/internal/process/restored.go
+++ b/internal/process/restored.go
@@ -17,6 +17,9 @@
 	// restored store has its row. The store deletes the row of a target that is silent
 	// for three heartbeat intervals.
 	restoredTargetDelay = 5 * time.Second
+	// operatorRewriteTime is how long the operator's writes that the store has lost may
+	// be missing.
+	operatorRewriteTime = 2 * time.Second
 )
 
 // rowKind tells the tables apart in deferredRows.
@@ -130,6 +133,7 @@
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.awaitingOperatorUntil = now.Add(operatorRewriteTime)
 	v.deferred.restart(operatorRow, now)
 }
 
@@ -139,3 +143,11 @@
 	defer v.mu.Unlock()
 	v.deferred.restart(targetRow, time.Now())
 }
+
+// awaitingOperator reports whether writes of the operator may be missing because the store
+// was restored a short time ago.
+func (v *viewBuilder) awaitingOperator() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Now().Before(v.awaitingOperatorUntil)
+}
--- a/internal/process/views.go
+++ b/internal/process/views.go
@@ -45,6 +45,9 @@
 	// deferred holds, by key, rows of the zones and of the targets that changed only
 	// because the store was restored, until they are written again or their time is over.
 	deferred deferredRows
+	// awaitingOperatorUntil is when the operator's writes that the store had lost are
+	// back, after the store was restored.
+	awaitingOperatorUntil time.Time
 }
 
 func newViewBuilder(log *slog.Logger, decoder Decoder, holder *topology.Holder, recoveringFromOutage func() bool) *viewBuilder {
--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -101,6 +101,11 @@
 	LongPoll func() time.Duration
 	// Freshness records up to which time the replica is current.
 	Freshness *freshness.Tracker
+	// EvidenceSuspended reports whether the replica may lack changes that were
+	// acknowledged before the store was restored, so that no response confirms it. Nil
+	// means never.
+	EvidenceSuspended func() bool
+
 	// applying makes a change of the replica and its notification one step, so that the
 	// replica is not confirmed while OnChange has not seen a change yet.
 	applying    sync.Mutex
@@ -208,7 +213,7 @@
 	}
 	s.notify(before, changed)
 	s.Freshness.ObserveClock(sentAt, listing.StoreTime)
-	s.Freshness.Confirm(listing.StoreTime)
+	s.confirm(listing.StoreTime)
 	return nil
 }
 
@@ -268,10 +273,26 @@
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	if at := s.Replica.Position(); at.Epoch == to.Epoch && at.Version >= to.Version {
+		s.confirm(storeTime)
+	}
+}
+
+// confirm implements Confirm for a time of the replica's epoch. The caller must hold
+// applying.
+func (s *Syncer) confirm(storeTime time.Duration) {
+	if s.EvidenceSuspended == nil || !s.EvidenceSuspended() {
 		s.Freshness.Confirm(storeTime)
 	}
 }
 
+// Clock returns an upper bound of the store's clock, and the epoch to which it belongs.
+func (s *Syncer) Clock() (epoch uint64, storeTime time.Duration, ok bool) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	storeTime, ok = s.Freshness.Clock()
+	return s.Replica.Position().Epoch, storeTime, ok
+}
+
 // ObserveClock records the store's clock in the response to a call that was sent at sentAt,
 // an uptime. It is ignored if the replica does not belong to the response's epoch.
 func (s *Syncer) ObserveClock(epoch uint64, sentAt, storeTime time.Duration) {
@@ -332,6 +353,7 @@
 // applying.
 func (s *Syncer) notify(before replica.Position, changed []replica.Record) {
 	if now := s.Replica.Position(); now.Epoch != before.Epoch {
+		s.Freshness.BeginEpoch()
 		s.Log.Warn("store epoch changed", "table", s.Replica.Table(), "epoch", now.Epoch, "version", now.Version, "base", s.Replica.Base(),
 			"last_epoch", before.Epoch, "last_version", before.Version, "changed", len(changed), "restored", countRestored(changed))
 		if before != (replica.Position{}) && s.OnEpoch != nil {
--- a/internal/storesync/storesync_test.go
+++ b/internal/storesync/storesync_test.go
@@ -202,3 +202,27 @@
 		{Key: "a", Value: []byte("old"), Version: 3, Epoch: 2, Restored: true},
 	})
 }
+
+// Guards against a revoked key that is accepted because answers of a restored store, which
+// may have lost the revocation, count as evidence.
+func TestEvidenceIsSuspended(t *testing.T) {
+	s := &fakeStore{epoch: 1, now: time.Minute}
+	s.list = func() ([]replica.Record, uint64, error) { return nil, 9, nil }
+	f := newFollower(s, func([]replica.Record) {})
+	suspended := false
+	f.EvidenceSuspended = func() bool { return suspended }
+	assert.NilError(t, f.list(t.Context()))
+	age := f.Freshness.Age()
+	suspended, s.epoch = true, 2
+	assert.NilError(t, f.list(t.Context()))
+	f.Confirm(replica.Position{Epoch: 2, Version: 9}, s.now)
+	assert.Assert(t, f.Freshness.Age() >= age, "evidence of before is lost or renewed")
+	suspended = false
+	f.Confirm(replica.Position{Epoch: 1, Version: 9}, s.now)
+	_, _, ok := f.Confirmed()
+	assert.Assert(t, !ok, "confirmed by evidence of the epoch before")
+	f.Confirm(replica.Position{Epoch: 2, Version: 9}, s.now)
+	epoch, _, ok := f.Confirmed()
+	assert.Assert(t, ok)
+	assert.Equal(t, epoch, uint64(2))
+}
