Tests from the review of the store's return; known red

Five faults that a reading of the fix found, each with its smallest test: a busy loop of watches under strict revocation, a long poll that outlasts the news of the new epoch, the time of a missing target across a second return, rows deleted before a VM was started, and a heartbeat that pairs the base of one epoch with another one.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -247,3 +247,21 @@
 	}
 	return parts
 }
+
+// Guards against a heartbeat that tells the lowest version of one epoch of the store as that
+// of another one, because the replica moves on meanwhile: rows of the copy would count as
+// written again.
+func TestStatusPairsEpochAndBase(t *testing.T) {
+	const epochs = 200_000
+	n := start(t, "a")
+	go func() {
+		for epoch := uint64(1); epoch <= epochs; epoch++ {
+			n.replica.Replace(nil, replica.Position{Epoch: epoch, Version: 2*epochs - epoch})
+		}
+	}()
+	for s := n.mesh.status(); s.Epoch < epochs; s = n.mesh.status() {
+		if s.Base != 0 {
+			assert.Equal(t, s.Base, 2*epochs-s.Epoch, "epoch %d", s.Epoch)
+		}
+	}
+}
--- a/internal/process/restored_test.go
+++ b/internal/process/restored_test.go
@@ -148,3 +148,15 @@
 	makeDue(v)
 	assert.Equal(t, len(holder.Get().Usable("s")), 1)
 }
+
+// Guards against a target that is dropped because its time to write its row again began at
+// an earlier return of the store than the last one.
+func TestSecondRestoreKeepsMissingTarget(t *testing.T) {
+	v, holder := newRestoredBuilder()
+	v.targetsChanged([]replica.Record{row("a", "7 ready", 1, false)})
+	v.targetsChanged([]replica.Record{row("a", "", 2, true)})
+	v.missingSince["a"] = time.Now().Add(-missingTargetGrace)
+	v.targetsTableRestored() // once more; the row is missing as before and so has not changed
+	v.removeMissingTargets()
+	assert.Equal(t, len(holder.Get().Usable("s")), 1)
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -196,3 +196,14 @@
 	}
 	return rows
 }
+
+// Guards against a row that was deleted in the lost seconds and counts as new at a VM that
+// was started after the deletion, and so has no tombstone of it.
+func TestDeletedRowUnknownBeforeRestore(t *testing.T) {
+	r := New("t")
+	r.Replace(nil, Position{Epoch: 1, Version: 30}) // the row of version 20 was deleted at 29
+	old := Record{Key: "a", Value: []byte("old"), Version: 20}
+	changed, _ := r.Replace([]Record{old}, Position{Epoch: 2, Version: 25})
+	assert.Equal(t, len(changed), 1)
+	assert.Assert(t, changed[0].Restored)
+}
--- a/internal/storesync/storesync_test.go
+++ b/internal/storesync/storesync_test.go
@@ -226,3 +226,57 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, epoch, uint64(2))
 }
+
+// Guards against a VM that calls the store without a pause for as long as a restored store
+// is no evidence: a watch without waiting confirms nothing then.
+func TestSuspendedEvidenceIsNotPolled(t *testing.T) {
+	const longPoll = 50 * time.Millisecond
+	const runTime = 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), runTime)
+	defer cancel()
+	s := &waitingStore{fakeStore: &fakeStore{epoch: 1, now: time.Minute}}
+	s.list = func() ([]replica.Record, uint64, error) { return nil, 9, nil }
+	s.watch = func(after uint64) (replica.Delta, error) { return replica.Delta{From: after, To: after}, nil }
+	f := newFollower(s.fakeStore, func([]replica.Record) {})
+	f.Store = s
+	f.LongPoll = func() time.Duration { return longPoll }
+	f.EvidenceSuspended = func() bool { return true }
+	f.Run(ctx)
+	calls := len(s.longPolls)
+	assert.Assert(t, calls <= int(2*runTime/longPoll), "%d calls in %v", calls, runTime)
+}
+
+// waitingStore is a fakeStore that holds each watch for as long as it may.
+type waitingStore struct{ *fakeStore }
+
+func (w *waitingStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
+	select {
+	case <-ctx.Done():
+		return Changes{}, ctx.Err()
+	case <-time.After(wait):
+		return w.fakeStore.Watch(ctx, table, after, wait)
+	}
+}
+
+// Guards against a table that is not listed for a whole long poll although another table has
+// shown that the store was restored: a reset connection is dialled again by net/http without
+// an error, and a store that has reached the requested version again holds the call.
+func TestRetryEndsLongPoll(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	s := &waitingStore{fakeStore: &fakeStore{epoch: 1}}
+	s.list = func() ([]replica.Record, uint64, error) {
+		if s.lists == 2 {
+			cancel()
+		}
+		return nil, 9, nil
+	}
+	s.watch = func(after uint64) (replica.Delta, error) { return replica.Delta{From: after, To: after}, nil }
+	f := newFollower(s.fakeStore, func([]replica.Record) {})
+	f.Store = s
+	time.AfterFunc(100*time.Millisecond, f.Retry)
+	start := time.Now()
+	f.Run(ctx)
+	assert.Assert(t, time.Since(start) < time.Second, "listed again after %v", time.Since(start))
+	assert.Assert(t, !f.Failing(), "the store answers")
+}
