End a long poll when another table shows a later epoch

Callers would have seen: a configuration that was confirmed after a return of the store not in force for up to 4 s, the length of a long poll.

Cause: net/http repeats a call on a reset connection without an error, so that a short return is no failed call. A store that has reached the requested version again holds the repeated watch. The table that hears of the new epoch ended only a pause of the other one. Change: Retry ends the watch, too, and the table is listed; the call does not count as failed.

Not shown on real processes.

--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -112,6 +112,7 @@
 	lastContact atomic.Pointer[time.Time] // time of the last response; nil if none
 	failing     atomic.Bool
 	endPause    atomic.Pointer[context.CancelFunc] // of the last pause after a failed call
+	endWatch    atomic.Pointer[context.CancelCauseFunc]
 }
 
 // Failing reports whether the last call to the store failed.
@@ -163,11 +164,16 @@
 	wait.For(ctx, d)
 }
 
-// Retry ends the pause after a failed call.
+// Retry ends the pause after a failed call, or the watch, because another table has shown a
+// later epoch of the store. The table is listed then: the store may hold the watch without
+// telling its epoch, and net/http repeats a call on a reset connection without an error.
 func (s *Syncer) Retry() {
 	if end := s.endPause.Load(); end != nil {
 		(*end)()
 	}
+	if end := s.endWatch.Load(); end != nil {
+		(*end)(errEpochChanged)
+	}
 }
 
 func (s *Syncer) step(ctx context.Context, listed *bool) error {
@@ -221,14 +227,17 @@
 	longPoll := s.longPoll()
 	ctx, cancel := context.WithTimeout(ctx, longPoll+watchGrace)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	s.endWatch.Store(&end)
 	changes, err := s.read(ctx, longPoll)
-	if err != nil {
-		return err
-	}
 	if len(changes) > 0 {
 		wait.For(ctx, s.MinWatchInterval)
 	}
-	return nil
+	if errors.Is(context.Cause(ctx), errEpochChanged) {
+		return errEpochChanged
+	}
+	return err
 }
 
 // longPoll returns how long the next watch may wait for changes. It does not wait when
