Restart the time of missing targets at a second return

Callers would have seen: 503 or more load on the other targets for a moment, when the store returned twice within 1.6 s and the targets added in the lost seconds had not written their rows in between.

Cause: a second return does not change a row that is missing already, so that the target was dropped 1.6 s after the first return. docs/design.md says that all times begin anew. Change: they do for missing targets, too.

--- a/internal/process/restored.go
+++ b/internal/process/restored.go
@@ -137,11 +137,17 @@
 	v.deferred.restart(operatorRow, now)
 }
 
-// targetsTableRestored records that the targets table has come from an older copy.
+// targetsTableRestored records that the targets table has come from an older copy. Targets
+// whose rows are missing have the whole time to write them again: they could not while the
+// store was away.
 func (v *viewBuilder) targetsTableRestored() {
+	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.deferred.restart(targetRow, time.Now())
+	v.deferred.restart(targetRow, now)
+	for id := range v.missingSince {
+		v.missingSince[id] = now
+	}
 }
 
 // awaitingOperator reports whether writes of the operator may be missing because the store
