Read a replica's position and base at the same moment

What would have been seen: rows of the copy that count as written in the epoch, so that an older configuration or a target that had left comes back, if the store returns a second time while a VM encodes a heartbeat or aligns its tables.

Cause: the epoch and the lowest version known of it were read one after the other, and the base of a later epoch can be lower. A base that is too low stays.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -316,7 +316,7 @@
 	for table, c := range m.replicas {
 		// The position is read after the time, so that it is never too old for it.
 		epoch, storeTime, confirmed := m.confirmed(table)
-		position := c.Position()
+		position, base := c.PositionAndBase()
 		if position.Epoch != s.Epoch {
 			continue
 		}
@@ -324,7 +324,7 @@
 		if confirmed && epoch == s.Epoch {
 			s.Confirmed[table] = storeTime.Milliseconds()
 		}
-		if base := c.Base(); s.Base == 0 || base < s.Base {
+		if s.Base == 0 || base < s.Base {
 			s.Base = base
 		}
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -218,8 +218,8 @@
 func (p *Process) alignTables() {
 	epoch := p.storeEpoch()
 	for _, s := range p.syncers() {
-		if at := s.Replica.Position(); at.Epoch == epoch {
-			p.observeBase(epoch, s.Replica.Base())
+		if at, base := s.Replica.PositionAndBase(); at.Epoch == epoch {
+			p.observeBase(epoch, base)
 		} else if p.alignedEpoch != epoch {
 			s.Retry()
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -94,9 +94,16 @@
 
 // Base returns the lowest version of the store that is known of the replica's epoch.
 func (r *Replica) Base() uint64 {
+	_, base := r.PositionAndBase()
+	return base
+}
+
+// PositionAndBase returns Position and Base of the same moment, so that the base belongs to
+// the position's epoch.
+func (r *Replica) PositionAndBase() (Position, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.base
+	return r.position, r.base
 }
 
 // ChangesSince returns the changes after a position. The delta is complete if
