Do not tell presumed deletions to replicas of another epoch

Callers would have seen: requests to a zone that was taken out of service in the lost seconds, and targets added in them dropped at once, at VMs that hear of the return from another VM (that the store turns away, or that do not watch).

Cause: a VM whose first listing of an epoch lacks a row keeps a tombstone with the listing's version. A VM that got it with the whole table took it for a deletion in the new epoch whenever that version was above that of its row, that is, if the store's counter had passed the lost row's version before the first listing. Change: such tombstones are left out of changes for another epoch. The receiver finds the row missing and marks it as restored itself. Deletions that were seen in the epoch are still told (TestRowDeletedAfterRestoreIsGoneAtPeer).

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,10 @@
 	// changed because the store lost a later write of it, and is not known to have been
 	// written since.
 	Restored bool `msgpack:"-"`
+	// Presumed marks, inside a replica, a tombstone of a row that the first listing of an
+	// epoch lacks: the store may have lost the row, or it was deleted. The tombstone has the
+	// version of the listing.
+	Presumed bool `msgpack:"-"`
 }
 
 // Delta is a set of changes of one table. It advances a replica that has all
@@ -107,7 +111,9 @@
 }
 
 // ChangesSince returns the changes after a position. The delta is complete if
-// deletions after that position may be unknown, or if it belongs to another epoch.
+// deletions after that position may be unknown, or if it belongs to another epoch. A replica
+// that moves on to this epoch must find out itself which of its rows the store has lost, so
+// it is not told presumed deletions.
 func (r *Replica) ChangesSince(from Position) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -117,6 +123,7 @@
 	}
 	for _, record := range r.records {
 		switch {
+		case record.Presumed && from.Epoch != r.position.Epoch:
 		case record.Version > d.From:
 			d.Records = append(d.Records, record)
 		case d.Complete && !record.Deleted:
@@ -181,7 +188,7 @@
 
 // annotate returns a record as it is handed to consumers. The caller must hold mu.
 func (r *Replica) annotate(record Record, restored bool) Record {
-	record.Epoch, record.Restored = r.position.Epoch, restored
+	record.Epoch, record.Restored, record.Presumed = r.position.Epoch, restored, false
 	return record
 }
 
@@ -254,7 +261,7 @@
 		if listed[key] || old.Deleted {
 			continue
 		}
-		tombstone := Record{Key: key, Version: to.Version, Deleted: true}
+		tombstone := Record{Key: key, Version: to.Version, Deleted: true, Presumed: true}
 		r.records[key] = tombstone
 		changed = append(changed, r.annotate(tombstone, true))
 	}
