--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -240,3 +240,14 @@
 	assert.Equal(t, len(changed), 1)
 	assert.Assert(t, !changed[0].Restored)
 }
+
+// Guards against rows that are reported again each time a lower version of the epoch is
+// heard of, although they never counted as restored: a cold target would be cold anew.
+func TestLowerBaseReportsRestoredRowsOnly(t *testing.T) {
+	r := New("t")
+	r.Replace([]Record{{Key: "a", Version: 30}}, Position{Epoch: 1, Version: 30})
+	changed, _ := r.Replace([]Record{{Key: "a", Version: 23}, {Key: "new", Version: 24}}, Position{Epoch: 2, Version: 25})
+	assert.Equal(t, len(changed), 2)
+	assert.DeepEqual(t, r.ObserveBase(2, 22), []Record{{Key: "a", Version: 23, Epoch: 2}})
+	assert.Equal(t, len(r.ObserveBase(2, 20)), 0)
+}
