Report restored rows only when the base is lowered

What would have been seen: each lower version of the epoch that a VM heard of reported all rows between it and the one before again: log lines, and targets that count as cold anew, because the time that a row tells is counted from its report.

Cause: the replica did not keep which rows it had reported as restored. Now it does, and reports those that are known to have been written after all.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -76,6 +76,9 @@
 	position Position
 	// base is the lowest version of the store that is known of the epoch, see Delta.
 	base uint64
+	// restored holds the keys of the rows that were reported as restored in the epoch and
+	// are not known to have been written since.
+	restored map[string]bool
 	// deletesKnownFrom is the version after which all deletions are known. A
 	// listing does not show which rows were deleted before it.
 	deletesKnownFrom uint64
@@ -178,7 +181,8 @@
 	}
 	var written []Record
 	for _, record := range r.records {
-		if record.Version > base && record.Version <= r.base && !record.Deleted {
+		if record.Version > base && r.restored[record.Key] {
+			delete(r.restored, record.Key)
 			written = append(written, r.annotate(record, false))
 		}
 	}
@@ -201,6 +205,7 @@
 			continue
 		}
 		r.records[record.Key] = record
+		delete(r.restored, record.Key)
 		changed = append(changed, r.annotate(record, false))
 	}
 	return changed
@@ -232,6 +237,7 @@
 		}
 		tombstone := Record{Key: key, Version: to.Version, Deleted: true}
 		r.records[key] = tombstone
+		delete(r.restored, key)
 		changed = append(changed, r.annotate(tombstone, false))
 	}
 	r.position, r.deletesKnownFrom = to, to.Version
@@ -244,7 +250,7 @@
 // caller must hold mu.
 func (r *Replica) enterEpoch(records []Record, to Position, base uint64) []Record {
 	known := r.records
-	r.records = make(map[string]Record, len(records))
+	r.records, r.restored = make(map[string]Record, len(records)), map[string]bool{}
 	r.position, r.base, r.deletesKnownFrom = to, cmp.Or(base, to.Version), to.Version
 	var changed []Record
 	for _, record := range records {
@@ -254,6 +260,9 @@
 			continue
 		}
 		restored := ok && old.Version > record.Version && record.Version <= r.base
+		if restored && !record.Deleted {
+			r.restored[record.Key] = true
+		}
 		changed = append(changed, r.annotate(record, restored))
 	}
 	listed := keysOf(records)
