Table stand-in: return to an earlier copy

The fake table can copy its state and return to the copy; the stand-in of the table service offers the same as POST /backup and POST /restore. Tests use it to show what happens when the service comes back without the latest writes.

--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/oriolefront/oriolefront/internal/store"
 	"github.com/oriolefront/oriolefront/internal/store/storefake"
@@ -16,12 +17,31 @@
 // Table is a fake of the transactional table service.
 type Table struct {
 	faultInjector
-	table *storefake.Table
+	table  *storefake.Table
+	backup atomic.Pointer[storefake.Copy]
 }
 
 // NewTable returns an empty table service.
 func NewTable() *Table { return &Table{table: storefake.NewTable()} }
 
+// Backup keeps a copy of the current state for Restore, in place of an earlier
+// one.
+func (t *Table) Backup() {
+	c := t.table.Copy()
+	t.backup.Store(&c)
+}
+
+// Restore returns to the state of the last Backup, and reports false if there is
+// none. Later writes are lost and their revisions are assigned again.
+func (t *Table) Restore() bool {
+	c := t.backup.Load()
+	if c == nil {
+		return false
+	}
+	t.table.Restore(*c)
+	return true
+}
+
 // Underlying returns the table behind the service, for direct access in tests.
 func (t *Table) Underlying() *storefake.Table { return t.table }
 
@@ -31,10 +51,18 @@
 	mux.HandleFunc("POST /get", t.withFaults(false, t.serveGet))
 	mux.HandleFunc("POST /scan", t.withFaults(false, t.serveScan))
 	mux.HandleFunc("POST /commit", t.withFaults(true, t.serveCommit))
+	mux.HandleFunc("POST /backup", func(http.ResponseWriter, *http.Request) { t.Backup() })
+	mux.HandleFunc("POST /restore", t.serveRestore)
 	t.register(mux)
 	return mux
 }
 
+func (t *Table) serveRestore(w http.ResponseWriter, _ *http.Request) {
+	if !t.Restore() {
+		http.Error(w, "there is no backup to restore", http.StatusConflict)
+	}
+}
+
 func decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
 	err := json.NewDecoder(io.LimitReader(r.Body, maxTableBodyBytes)).Decode(into)
 	if err != nil {
--- a/internal/store/storefake/storefake.go
+++ b/internal/store/storefake/storefake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -55,6 +56,27 @@
 	return t.counts
 }
 
+// Copy is a copy of a table's state, taken by Table.Copy.
+type Copy struct {
+	rows     map[string]store.Row
+	revision uint64
+}
+
+// Copy returns a copy of the current state.
+func (t *Table) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Copy{rows: maps.Clone(t.rows), revision: t.revision}
+}
+
+// Restore replaces the state by an earlier copy, like a service that comes back
+// from a backup: later writes are lost and their revisions are assigned again.
+func (t *Table) Restore(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.revision = maps.Clone(c.rows), c.revision
+}
+
 // applyFaults applies the faults Delay and Down.
 func (t *Table) applyFaults(ctx context.Context) error {
 	t.mu.Lock()
