confsync: write back versions that the table service has lost

When the table service came back from an older copy, the VMs kept their newer version, but every patch was refused: its base was not the store's head, or the VM's version was above it. Nothing could be accepted until every VM had been restarted, and the lost versions then ended with the last VM that had them.

A VM whose version, taken before the read, is above the store's head writes the missing records, verdicts and the head back, if that head is in its own history.

TestRestoreOfTheStore and TestLostVersionsAreWrittenBack failed before.

--- a/internal/confsync/advance.go
+++ b/internal/confsync/advance.go
@@ -230,17 +230,28 @@
 		next.checkpoint = st.checkpoint
 		if st.config.Hash == p.previous {
 			next.records = append(next.records, st.records...)
+			next.baseHash = st.baseHash
 		}
 	}
+	if len(next.records) == 0 {
+		next.baseHash = p.previous
+	}
 	next.records = append(next.records, p.record)
 	if p.config.Version%config.SnapshotInterval == 0 {
 		next.checkpoint = newCheckpoint(p)
-		keep := min(len(next.records), config.SnapshotInterval)
-		next.records = next.records[len(next.records)-keep:]
+		next.dropRecords(len(next.records) - config.SnapshotInterval)
 	}
 	return next
 }
 
+// dropRecords drops the n oldest records; n may be negative.
+func (st *state) dropRecords(n int) {
+	for range n {
+		st.baseHash = config.ChainHash(st.baseHash, st.records[0])
+		st.records = st.records[1:]
+	}
+}
+
 func newCheckpoint(p step) *checkpoint {
 	c := &checkpoint{config: p.config, previous: p.previous, record: p.record}
 	c.encoded = sync.OnceValue(func() []byte {
--- /dev/null
+++ b/internal/confsync/restore_test.go
@@ -0,0 +1,65 @@
+package confsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/store/storefake"
+)
+
+// restoreStore makes the table come back from an outage as the copy.
+func (f *fleet) restoreStore(c storefake.Copy) {
+	f.fake.SetFaults(storefake.Faults{Down: true})
+	f.fake.Restore(c)
+	f.fake.SetFaults(storefake.Faults{})
+}
+
+// Guards against VMs that stop serving, go back to an older configuration, or
+// accept no patch any more after the store has lost versions.
+func TestRestoreOfTheStore(t *testing.T) {
+	f := newFleet(t)
+	vms := []*vm{f.add(f.fake), f.add(f.fake), f.add(f.fake)}
+	vms[0].submitPatches(2)
+	f.run(vms...)
+	f.await(vms[0].Head(), vms...)
+	before := f.fake.Copy()
+	vms[0].submitPatches(2)
+	newest := vms[0].Head()
+	f.await(newest, vms...)
+	stop := watchVersions(t, vms)
+	defer stop()
+	f.restoreStore(before)
+	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		f.await(newest, vms...)
+	}
+	got, err := vms[1].Submit(ctx, zonePatch("after", newest.Version, "a", "r"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Result, Accepted, got.Reason)
+	f.await(Head{Version: newest.Version + 1, Hash: got.Hash}, vms...)
+}
+
+// Guards against the loss of an accepted version, and of the verdict on its patch,
+// once the VMs that had it have ended.
+func TestLostVersionsAreWrittenBack(t *testing.T) {
+	f := newFleet(t)
+	v := f.add(f.fake)
+	before := f.fake.Copy()
+	const lost = 2*maxRestoredRecords + 3
+	v.submitPatches(lost)
+	f.restoreStore(before)
+	for range 3 {
+		v.poll(ctx)
+	}
+	v.partitioned.Store(true)
+	late := f.add(f.fake)
+	assert.NilError(t, late.start(ctx))
+	f.await(v.Head(), late)
+	for base := range uint64(lost) {
+		verdict, err := late.Submit(ctx, zonePatch(fmt.Sprint("g", base), base, fmt.Sprint("z", base%50), fmt.Sprint("r", base)))
+		assert.NilError(t, err)
+		assert.Assert(t, verdict.Result == Accepted && verdict.Repeated && verdict.Version == base+1, "%+v", verdict)
+	}
+}
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -100,6 +100,7 @@
 
 // attempt makes one attempt to look up or reach the verdict.
 func (b *submission) attempt(ctx context.Context) (Verdict, error) {
+	known := b.s.current()
 	h, err := b.s.readHead(ctx, idPrefix+b.patch.ID)
 	if err != nil {
 		return Verdict{}, unavailable(err)
@@ -107,6 +108,9 @@
 	if h.extraRows[0].Revision != 0 {
 		return b.existingVerdict(ctx, h)
 	}
+	if known != nil && known.config.Version > h.head.Version {
+		return b.restore(ctx, known, h)
+	}
 	switch {
 	case b.patch.BaseVersion < h.head.Version:
 		return b.refuseStale(ctx, h)
@@ -119,6 +123,16 @@
 	return b.commit(ctx, h)
 }
 
+// restore writes versions back that the store has lost, before the patch is
+// judged against the head.
+func (b *submission) restore(ctx context.Context, known *state, h storedHead) (Verdict, error) {
+	err := b.s.restoreLostVersions(ctx, known, h)
+	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknown) {
+		return Verdict{}, errRetry
+	}
+	return Verdict{}, unavailable(err)
+}
+
 // existingVerdict returns the verdict that the row of the patch id implies.
 func (b *submission) existingVerdict(ctx context.Context, h storedHead) (Verdict, error) {
 	var row verdictRow
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -81,6 +81,8 @@
 	// records holds the records of consecutive versions; the last one is that of
 	// config.
 	records [][]byte
+	// baseHash is the hash of the version before the first of records.
+	baseHash string
 }
 
 func (st *state) head() Head { return Head{Version: st.config.Version, Hash: st.config.Hash} }
@@ -244,6 +246,7 @@
 // poll reads the head of the store and catches up with it.
 func (s *Syncer) poll(ctx context.Context) {
 	s.dropDepartedPeers()
+	known := s.current()
 	started := s.options.Now()
 	stored, err := s.readHead(ctx)
 	if err != nil {
@@ -257,6 +260,9 @@
 	}
 	s.updateLag(stored.head, err)
 	s.checkDivergence(stored.head)
+	if err := s.restoreLostVersions(ctx, known, stored); err != nil {
+		s.options.Log.Warn("configuration versions lost by the table service were not written back", "error", err)
+	}
 	s.compact(ctx, stored)
 }
 
