confsync: catch up with peers before a patch is committed

After the table service came back from an older copy, a VM that had not yet received the lost version accepted another patch under its number, although heartbeats had told it of that version. The histories of the VMs then differed.

TestLostVersionIsNotAcceptedAgain failed before.

--- a/internal/confsync/restore_test.go
+++ b/internal/confsync/restore_test.go
@@ -63,3 +63,20 @@
 		assert.Assert(t, verdict.Result == Accepted && verdict.Repeated && verdict.Version == base+1, "%+v", verdict)
 	}
 }
+
+// Guards against a number that is given to a second patch: a VM that did not have
+// the lost version yet, but hears of it, accepts a patch against the one before.
+func TestLostVersionIsNotAcceptedAgain(t *testing.T) {
+	f := newFleet(t)
+	newest, lagging := f.add(f.fake), f.add(f.fake)
+	newest.submitPatches(1)
+	assert.NilError(t, lagging.start(ctx))
+	before := f.fake.Copy()
+	newest.submitPatches(1)
+	f.restoreStore(before)
+	newest.sendHeartbeat()
+	got, err := lagging.Submit(ctx, zonePatch("other", 1, "a", "r"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Result, Refused, "version 2 was accepted twice")
+	f.await(newest.Head(), lagging)
+}
--- a/internal/confsync/submit.go
+++ b/internal/confsync/submit.go
@@ -202,8 +202,11 @@
 	return keys
 }
 
-// commit validates the patch against the head and commits it.
+// commit validates the patch against the head and commits it. It first catches up
+// with its peers: if they have a higher version than the store, the store has lost
+// that version, and its number must not be given to another patch.
 func (b *submission) commit(ctx context.Context, h storedHead) (Verdict, error) {
+	b.catchUpWithPeers(ctx)
 	base := b.s.base()
 	if base.Version > h.head.Version {
 		return Verdict{}, errRetry
@@ -233,6 +236,14 @@
 	return Verdict{}, unavailable(err)
 }
 
+// catchUpWithPeers gives peers that do not respond, or whose version does not
+// verify, at most one call's time.
+func (b *submission) catchUpWithPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	b.s.advanceFromPeers(ctx)
+}
+
 // transaction returns a transaction that moves the head and stores the record and
 // the verdict. Its conditions are that the head is still at the revision that was
 // read and that the patch id has no verdict yet.
