confsync: take the store's version when its number was given to another patch

A VM whose version had the store's number and another hash was not ready until the next version was accepted. After the table service had come back from an older copy and a number had been given to another patch, all VMs that had the lost version stopped serving at once, which is worse than without the service. Such a VM now rebuilds its configuration from the store's history and is not ready only while that fails.

TestReassignedVersion failed before. TestDivergence demanded the state that is mended here. It now demands that the VM is not ready while the store's history cannot be read, and that it takes the store's version as soon as it can be, without waiting for the next one.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -205,3 +205,10 @@
 		}
 	}
 }
+
+// ReplaceSameVersion makes c active in place of another configuration of the same
+// version, and reports whether it did.
+func (h *Holder) ReplaceSameVersion(c *Config) bool {
+	old := h.current.Load()
+	return old != nil && old.Version == c.Version && h.current.CompareAndSwap(old, c)
+}
--- a/internal/confsync/advance.go
+++ b/internal/confsync/advance.go
@@ -80,6 +80,50 @@
 	return errors.Join(errs...)
 }
 
+// rebuild replaces the active version by the store's version with the same number,
+// from a snapshot or from the first record on.
+func (s *Syncer) rebuild(ctx context.Context, stored storedHead) error {
+	select {
+	case s.updateLock <- struct{}{}:
+		defer func() { <-s.updateLock }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	errs := []error{fmt.Errorf("version %d has no source that verifies", stored.head.Version)}
+	for _, source := range s.sources(stored.head, &stored.compaction) {
+		if source.fromEmpty {
+			continue // the same as the table service before it
+		}
+		source.fromEmpty = true
+		steps, err := source.steps(ctx, config.Empty(), stored.head)
+		if err == nil {
+			s.replace(steps)
+			return nil
+		}
+		s.recordSourceFailure(source.name, stored.head, err)
+		errs = append(errs, fmt.Errorf("%s: %w", source.name, err))
+	}
+	return errors.Join(errs...)
+}
+
+// replace makes the last of the verified versions active if the active one has the
+// same number.
+func (s *Syncer) replace(steps []step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var next *state
+	for _, st := range steps {
+		next = next.with(st)
+	}
+	if next.config.Version != s.state.config.Version || !s.options.Holder.ReplaceSameVersion(next.config) {
+		return
+	}
+	s.state = next
+	s.activatedAt = time.Now()
+	s.notReady = nil
+	s.options.Log.Warn("configuration replaced by that of the table service", "version", next.config.Version, "hash", next.config.Hash)
+}
+
 // recordSourceFailure logs that target was not reached from a source, and counts
 // the bundles that do not verify.
 func (s *Syncer) recordSourceFailure(source string, target Head, err error) {
--- a/internal/confsync/advance_test.go
+++ b/internal/confsync/advance_test.go
@@ -161,7 +161,7 @@
 }
 
 // Guards against a VM that stays ready with a configuration that diverges from
-// the store, and against one that never recovers from it.
+// the store, and against one that does not take the store's as soon as it can.
 func TestDivergence(t *testing.T) {
 	f := newFleet(t)
 	v, diverged := f.add(f.fake), f.add(f.fake)
@@ -169,8 +169,16 @@
 	record, next, err := config.Accept(config.Empty(), zonePatch("other", 0, "z", "r"), time.Now())
 	assert.NilError(t, err)
 	diverged.activateAccepted(ctx, config.Empty(), record, next)
+	diverged.partitioned.Store(true)
+	original := f.record(1)
+	_, err = f.fake.Commit(ctx, store.Txn{Ops: []store.Op{{Key: patchKey(1), Delete: true}}})
+	assert.NilError(t, err)
 	diverged.poll(ctx)
 	assert.ErrorContains(t, diverged.Ready(), "hash of version 1")
+	_, err = f.fake.Commit(ctx, store.Txn{Ops: []store.Op{{Key: patchKey(1), Value: original}}})
+	assert.NilError(t, err)
+	diverged.poll(ctx)
+	f.await(v.Head(), diverged)
 	v.submitPatches(1)
 	diverged.poll(ctx)
 	f.await(v.Head(), diverged)
--- a/internal/confsync/restore_test.go
+++ b/internal/confsync/restore_test.go
@@ -80,3 +80,18 @@
 	assert.Equal(t, got.Result, Refused, "version 2 was accepted twice")
 	f.await(newest.Head(), lagging)
 }
+
+// Guards against a VM that stays out of service, or keeps its own version, when
+// the store has given the number to another patch.
+func TestReassignedVersion(t *testing.T) {
+	f := newFleet(t)
+	cutOff, other := f.add(f.fake), f.add(f.fake)
+	before := f.fake.Copy()
+	cutOff.submitPatches(1)
+	cutOff.partitioned.Store(true)
+	f.restoreStore(before)
+	_, err := other.Submit(ctx, zonePatch("other", 0, "a", "r"))
+	assert.NilError(t, err)
+	cutOff.poll(ctx)
+	f.await(other.Head(), cutOff)
+}
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -259,7 +259,7 @@
 		s.options.OnSynced(started)
 	}
 	s.updateLag(stored.head, err)
-	s.checkDivergence(stored.head)
+	s.checkDivergence(ctx, stored)
 	if err := s.restoreLostVersions(ctx, known, stored); err != nil {
 		s.options.Log.Warn("configuration versions lost by the table service were not written back", "error", err)
 	}
@@ -283,19 +283,21 @@
 	}
 }
 
-// checkDivergence detects that a version applied from peers during a store outage
-// differs from that version in the store. The VM then becomes not ready. It
-// recovers with the next version, which it builds from a snapshot or from the
-// first record.
-func (s *Syncer) checkDivergence(stored Head) {
+// checkDivergence detects that the active version differs from that version in the
+// store: the store lost it and has given its number to another patch. The store
+// is authoritative, so the VM takes the store's version. While it fails to, it is
+// not ready.
+func (s *Syncer) checkDivergence(ctx context.Context, stored storedHead) {
 	own := s.Head()
 	switch {
-	case own.Version == stored.Version && own.Hash != stored.Hash:
-		err := config.Problem{Key: "hash of version " + fmt.Sprint(own.Version), Found: own.Hash, Allowed: stored.Hash + " (table service)"}
+	case own.Version == stored.head.Version && own.Hash != stored.head.Hash:
+		err := config.Problem{Key: "hash of version " + fmt.Sprint(own.Version), Found: own.Hash, Allowed: stored.head.Hash + " (table service)"}
 		s.options.Log.Error("active configuration diverges from the store", "error", err)
-		s.setNotReady(err)
-	case own.Version > stored.Version:
-		s.options.Log.Warn("table service has an older configuration", "own", own.Version, "stored", stored.Version)
+		if rebuildErr := s.rebuild(ctx, stored); rebuildErr != nil {
+			s.setNotReady(errors.Join(err, rebuildErr))
+		}
+	case own.Version > stored.head.Version:
+		s.options.Log.Warn("table service has an older configuration", "own", own.Version, "stored", stored.head.Version)
 	}
 }
 
