seat: claim above the highest epoch known, not above that of the row

After the table service had come back from a copy from before a takeover, its epoch was given to a second VM. The prefix of an attempt's id, <seat>.<epoch>, then no longer told the attempts of the two VMs apart.

TestEpochIsNotReassigned failed before.

--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -244,6 +244,25 @@
 	return now - p.lastHeard, true
 }
 
+// SeatsOfPeers returns the seats that peers reported as leased in their latest
+// heartbeat, each with the highest epoch, as far as the peers were heard from
+// within the heartbeat timeout.
+func (v *View) SeatsOfPeers() map[int]uint64 {
+	now := v.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	epochs := map[int]uint64{}
+	for _, p := range v.peers {
+		if now-p.lastHeard > v.options.HeartbeatTimeout {
+			continue
+		}
+		for _, s := range p.seats {
+			epochs[s.Index] = max(epochs[s.Index], s.Epoch)
+		}
+	}
+	return epochs
+}
+
 // PeersWithStoreContact returns the addresses of peers with recent store
 // contact of their own, for the relay of renewals, in an order that differs
 // between VMs.
--- a/internal/seat/claim.go
+++ b/internal/seat/claim.go
@@ -35,6 +35,23 @@
 	}
 }
 
+// updateHighestEpochs records the epochs of the rows, of this VM's seats and of
+// the seats of peers.
+func (m *Manager) updateHighestEpochs(t *seatTable) {
+	record := func(index int, epoch uint64) {
+		m.highestEpochs[index] = max(m.highestEpochs[index], epoch)
+	}
+	for index, r := range t.rows {
+		record(index, r.Epoch)
+	}
+	for _, s := range *m.heldSeats.Load() {
+		record(s.Index, s.Epoch)
+	}
+	for index, epoch := range m.options.Membership.SeatsOfPeers() {
+		record(index, epoch)
+	}
+}
+
 // claimSeat tries to claim one seat: first seats whose holder is known to have
 // ended, then vacant ones, then at most one whose takeover timeout has passed.
 // It reports whether the rows have to be read again to try another.
@@ -164,7 +181,7 @@
 	old := t.rows[index]
 	next := row{
 		Holder:            m.options.Membership.Self(),
-		Epoch:             old.Epoch + 1,
+		Epoch:             max(old.Epoch, m.highestEpochs[index]) + 1,
 		TakeoverTimeoutMs: m.takeoverTimeout().Milliseconds(),
 	}
 	txn := store.Txn{
--- a/internal/seat/manager.go
+++ b/internal/seat/manager.go
@@ -53,6 +53,7 @@
 	LastHeard(membership.Instance) (age time.Duration, ok bool)
 	QueryLastHeard(context.Context, membership.Instance) []membership.LastHeardReport
 	PeersWithStoreContact() []string
+	SeatsOfPeers() map[int]uint64
 	SetSeatSource(membership.SeatSource)
 	OnUpdate(func())
 	Refresh()
@@ -119,6 +120,9 @@
 	// The fields below are used under stepMu.
 	rowAges    map[int]rowAge
 	lastReadAt time.Duration
+	// highestEpochs holds the highest epoch known of each seat. A row can have a
+	// lower one if the store came back from an older copy.
+	highestEpochs map[int]uint64
 
 	occupancy occupancy
 }
@@ -163,7 +167,7 @@
 // must be called before the membership starts.
 func New(o Options) *Manager {
 	o.setDefaults()
-	m := &Manager{options: o, rowAges: map[int]rowAge{}, lastReadAt: never, occupancy: newOccupancy()}
+	m := &Manager{options: o, rowAges: map[int]rowAge{}, highestEpochs: map[int]uint64{}, lastReadAt: never, occupancy: newOccupancy()}
 	m.heldSeats.Store(&[]*heldSeat{})
 	m.lastTable.Store(&seatTable{})
 	o.Membership.SetSeatSource(m)
--- a/internal/seat/renew.go
+++ b/internal/seat/renew.go
@@ -55,6 +55,7 @@
 	}
 	m.options.Membership.RecordStoreContactAt(started)
 	now := m.options.Membership.Now()
+	m.updateHighestEpochs(t)
 	for _, s := range *m.heldSeats.Load() {
 		m.checkSeat(s, t.rows[s.Index])
 	}
