seat: do not claim a seat that a peer reports as leased

After the table service had come back from a copy from before a takeover, its row named the former holder again. Another VM repeated the takeover before the new holder had read the row, and both used the seat's share of every target for up to two seconds.

TestLostTakeoverIsNotRepeated failed before.

--- a/internal/seat/claim.go
+++ b/internal/seat/claim.go
@@ -76,7 +76,9 @@
 }
 
 // claimOrder returns the seats in an order that differs between VMs, so that
-// VMs that start together claim different ones.
+// VMs that start together claim different ones. Seats that a peer reports as
+// leased are left out: a row that allows a claim of one is from an older copy of
+// the store, and the peer has not read it yet.
 func (m *Manager) claimOrder() []int {
 	self := m.options.Membership.Self()
 	rank := func(index int) uint64 {
@@ -88,6 +90,8 @@
 	for i := range out {
 		out[i] = i
 	}
+	leased := m.options.Membership.SeatsOfPeers()
+	out = slices.DeleteFunc(out, func(index int) bool { return leased[index] > 0 })
 	slices.SortFunc(out, func(a, b int) int {
 		if rank(a) < rank(b) {
 			return -1
--- a/internal/seat/restore_test.go
+++ b/internal/seat/restore_test.go
@@ -73,3 +73,13 @@
 		assert.Equal(t, sim.totalUsable(), 3)
 	}
 }
+
+// Guards against two VMs that use one seat, because the store lost the takeover by
+// one of them and a second VM repeats it.
+func TestLostTakeoverIsNotRepeated(t *testing.T) {
+	for delay := time.Duration(0); delay <= 4*time.Second; delay += simulationStep {
+		for _, v := range restoreAfterTakeover(t, delay, (*simulation).doubleUse) {
+			t.Error(v)
+		}
+	}
+}
