claim: insert the outcome of a call whose claim the table service has lost

After the table service had come back from a copy from before a claim, the outcome of the running call met no row, and was dropped as a conflict. A repeat then ran the call again.

TestClaimLostWhileRunning failed before; TestOutcomeLostAfterClaim did not.

--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -51,6 +51,13 @@
 	return err == nil && r.Nonce == w.row.Nonce && r.State == w.row.State
 }
 
+// claimWasLost reports whether the store has lost the claim to which this outcome
+// belongs, because it came back from an older copy. The outcome is then inserted
+// like a claim, so that a repeat finds it.
+func (w *write) claimWasLost(read store.Row) bool {
+	return w.row.State != running && w.expectedRevision != 0 && read.Revision == 0
+}
+
 // submit queues a write. It returns false if the queue is too long for another
 // claim.
 func (e *Executor) submit(w *write) bool {
@@ -189,6 +196,9 @@
 		switch {
 		case w.appliedIn(rows[i]):
 			e.complete(w, written, rows[i])
+		case w.claimWasLost(rows[i]):
+			w.expectedRevision = 0
+			unsettled = append(unsettled, w)
 		case rows[i].Revision != w.expectedRevision:
 			e.complete(w, conflict, rows[i])
 		default:
