claim: do not send a call again on the VM that sent it

After the table service had come back from a copy from before a claim, a repeat found no row and ran the call again, also on the VM that had run it.

TestClaimLostAfterTheCall failed before.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -78,6 +78,7 @@
 	options       Options
 	bufferedBytes *budget.Bytes
 	reader        batchReader
+	sent          *sentCalls
 	wake          chan struct{}
 	stopped       chan struct{}
 	pending       atomic.Int64
@@ -103,6 +104,7 @@
 		options:       o,
 		bufferedBytes: budget.NewBytes(maxBufferedBytes),
 		reader:        batchReader{table: o.Table},
+		sent:          newSentCalls(),
 		wake:          make(chan struct{}, 1),
 		stopped:       make(chan struct{}),
 	}
@@ -243,14 +245,21 @@
 	}
 }
 
-// execute sends a claimed call and records its outcome.
+// execute sends a claimed call and records its outcome. If this VM has sent the
+// call before, the store has lost the row of that claim, and the call must not run
+// again.
 func (e *Executor) execute(ctx context.Context, call *Call, w *write) (CallResult, error) {
+	if e.sent.contains(w.key) {
+		e.options.Log.Warn("claim was lost by the table service; the call is not run again", "row", w.key)
+		e.recordOutcome(w, unknown, storedResponse{}, 0)
+		return CallResult{}, errOutcomeUnknown
+	}
 	deadline, _ := ctx.Deadline()
 	// The call continues, and its response is stored, even if the caller
 	// disconnects.
 	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
-	res, err := call.Send(sendCtx, func() error { return e.authorizeSend(ctx, deadline) })
+	res, err := call.Send(sendCtx, func() error { return e.authorizeSend(ctx, w.key, deadline) })
 	if err == nil {
 		e.storeResponse(w, res)
 		return CallResult{Response: res}, nil
@@ -259,6 +268,7 @@
 	apiErr := apierror.From(err)
 	if apiErr.Outcome == apierror.NotRun {
 		outcome = notRun
+		e.sent.remove(w.key)
 	}
 	e.recordOutcome(w, outcome, storedResponse{}, 0)
 	return CallResult{}, apiErr
@@ -267,7 +277,7 @@
 // authorizeSend checks, immediately before the first byte, that this VM may still
 // send: the process may have been paused since the claim. It also compares wall
 // clock times, because the monotonic clock can stop while a VM is suspended.
-func (e *Executor) authorizeSend(ctx context.Context, deadline time.Time) error {
+func (e *Executor) authorizeSend(ctx context.Context, key string, deadline time.Time) error {
 	if err := e.options.AuthorizeSend(); err != nil {
 		return errNotAuthorized.WithCause(err)
 	}
@@ -275,6 +285,7 @@
 	if ctx.Err() != nil || !now.Before(deadline) || !now.Round(0).Before(deadline.Round(0)) {
 		return errDeadlineExceeded
 	}
+	e.sent.add(key)
 	return nil
 }
 
--- a/internal/claim/restore_test.go
+++ b/internal/claim/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,3 +72,66 @@
 		assert.Equal(t, apierror.From(err).Outcome, apierror.OutcomeUnknown)
 	})
 }
+
+// Guards against a call that runs again on the VM that ran it, because the store
+// lost its claim and its outcome, and on the others once that VM has noticed.
+func TestClaimLostAfterTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, table, objects := startExecutor(t)
+		before := table.Copy()
+		_, err := do(c, "k", "f", Response{Status: 201})
+		assert.NilError(t, err)
+		assert.NilError(t, c.Flush(t.Context()))
+		table.Restore(before)
+		for range 2 {
+			a, err := do(c, "k", "f", Response{Status: 500})
+			assert.Assert(t, errors.Is(err, errOutcomeUnknown), "the call ran again: %v %v", a, err)
+			assert.NilError(t, c.Flush(t.Context()))
+		}
+		_, err = do(secondExecutor(t, table, objects), "k", "f", Response{Status: 500})
+		assert.Assert(t, errors.Is(err, errOutcomeUnknown), "the call ran again on another VM: %v", err)
+	})
+}
+
+// Guards against a call that the target did not run and that cannot be claimed
+// again on the same VM.
+func TestCallThatDidNotRunIsNotRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, table, _ := startExecutor(t)
+		before := table.Copy()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.Do(ctx, Call{Account: "a", Service: "s", IdempotencyKey: "k", Fingerprint: "f",
+			Send: func(_ context.Context, maySend func() error) (Response, error) {
+				assert.Check(t, maySend())
+				return Response{}, apierror.New(apierror.KindUnavailable, apierror.NotRun, "target", "")
+			}})
+		assert.Equal(t, apierror.From(err).Outcome, apierror.NotRun)
+		assert.NilError(t, c.Flush(t.Context()))
+		table.Restore(before)
+		a, err := do(c, "k", "f", Response{Status: 201})
+		assert.NilError(t, err)
+		assert.Equal(t, a.Status, 201)
+	})
+}
+
+// Guards against a record of sent calls that grows without bound, or that drops
+// calls before their retention ends.
+func TestSentCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSentCalls()
+		for i := range 3 * maxSentCalls {
+			s.add(fmt.Sprint(i))
+		}
+		assert.Assert(t, len(s.current)+len(s.previous) <= 2*maxSentCalls)
+		s.add("kept")
+		time.Sleep(sentRetention)
+		s.add("later")
+		assert.Assert(t, s.contains("kept"))
+		time.Sleep(sentRetention + time.Second)
+		s.add("last")
+		time.Sleep(sentRetention + time.Second)
+		s.add("rotates again")
+		assert.Assert(t, !s.contains("kept") && s.contains("last"))
+	})
+}
