confsync: become ready again when the store has lost the missing version

A VM that could not reach a version for 3 s was not ready until it activated a higher version than its own. When the table service came back from a copy from before the missing version, the VM had the store's version and stayed out of service. A poll after which the VM has the store's version now makes it ready. A VM that diverges from the store no longer counts such a poll as a sync.

TestReadyWithoutALostVersion failed before.

--- a/internal/confsync/restore_test.go
+++ b/internal/confsync/restore_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolefront/oriolefront/internal/store"
 	"github.com/oriolefront/oriolefront/internal/store/storefake"
 )
 
@@ -95,3 +96,24 @@
 	cutOff.poll(ctx)
 	f.await(other.Head(), cutOff)
 }
+
+// Guards against a VM that stays out of service for a version that it could not
+// reach and that the store has lost meanwhile.
+func TestReadyWithoutALostVersion(t *testing.T) {
+	f := newFleet(t)
+	newest, v := f.add(f.fake), f.add(f.fake)
+	newest.submitPatches(1)
+	assert.NilError(t, v.start(ctx))
+	before := f.fake.Copy()
+	newest.submitPatches(1)
+	newest.partitioned.Store(true)
+	_, err := f.fake.Commit(ctx, store.Txn{Ops: []store.Op{{Key: patchKey(2), Delete: true}}})
+	assert.NilError(t, err)
+	v.poll(ctx)
+	v.laggingSince = time.Now().Add(-maxLag)
+	v.poll(ctx)
+	assert.ErrorContains(t, v.Ready(), "version 2 has no source that verifies")
+	f.restoreStore(before)
+	v.poll(ctx)
+	assert.NilError(t, v.Ready())
+}
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -255,23 +255,26 @@
 		return
 	}
 	err = s.advanceTo(ctx, stored.head, &stored.compaction)
+	if err == nil {
+		err = s.resolveDivergence(ctx, stored)
+	}
 	if err == nil {
 		s.options.OnSynced(started)
 	}
 	s.updateLag(stored.head, err)
-	s.checkDivergence(ctx, stored)
 	if err := s.restoreLostVersions(ctx, known, stored); err != nil {
 		s.options.Log.Warn("configuration versions lost by the table service were not written back", "error", err)
 	}
 	s.compact(ctx, stored)
 }
 
-// updateLag makes the VM not ready if it fails for longer than maxLag to reach a
-// version that it knows to be accepted. It might otherwise keep sending work to a
-// zone that is out of service.
+// updateLag makes the VM ready after a poll that succeeded, and not ready if it
+// fails for longer than maxLag to reach a version that it knows to be accepted. It
+// might otherwise keep sending work to a zone that is out of service.
 func (s *Syncer) updateLag(stored Head, err error) {
 	if err == nil {
 		s.laggingSince = time.Time{}
+		s.setNotReady(nil)
 		return
 	}
 	s.options.Log.Error("configuration out of date", "version", stored.Version, "error", err)
@@ -283,22 +286,25 @@
 	}
 }
 
-// checkDivergence detects that the active version differs from that version in the
-// store: the store lost it and has given its number to another patch. The store
-// is authoritative, so the VM takes the store's version. While it fails to, it is
-// not ready.
-func (s *Syncer) checkDivergence(ctx context.Context, stored storedHead) {
+// resolveDivergence detects that the active version differs from that version in
+// the store: the store lost it and has given its number to another patch. The
+// store is authoritative, so the VM takes the store's version. While it fails to,
+// it is not ready.
+func (s *Syncer) resolveDivergence(ctx context.Context, stored storedHead) error {
 	own := s.Head()
 	switch {
 	case own.Version == stored.head.Version && own.Hash != stored.head.Hash:
 		err := config.Problem{Key: "hash of version " + fmt.Sprint(own.Version), Found: own.Hash, Allowed: stored.head.Hash + " (table service)"}
 		s.options.Log.Error("active configuration diverges from the store", "error", err)
 		if rebuildErr := s.rebuild(ctx, stored); rebuildErr != nil {
-			s.setNotReady(errors.Join(err, rebuildErr))
+			err := errors.Join(err, rebuildErr)
+			s.setNotReady(err)
+			return err
 		}
 	case own.Version > stored.head.Version:
 		s.options.Log.Warn("table service has an older configuration", "own", own.Version, "stored", stored.head.Version)
 	}
+	return nil
 }
 
 // advanceFromPeers catches up with the peer that has the highest version. Any
