confsync: take the store's history when it went on from an older copy

When the table service came back from an older copy and a patch was accepted before any VM with the lost versions reached it, these VMs kept their own versions until the store's number had passed theirs: an accepted change, for example a zone taken out of service, was not in force on them. They now compare the store's head with their own history and take the store's version, also if it has a lower number.

TestReassignedLowerVersion failed before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,7 +193,7 @@
 func (h *Holder) Current() *Config { return h.current.Load() }
 
 // PublishIfNewer makes c active if its version is higher than the active one, and
-// reports whether it did. The active version never decreases.
+// reports whether it did. The active version decreases only through Replace.
 func (h *Holder) PublishIfNewer(c *Config) bool {
 	for {
 		old := h.current.Load()
@@ -206,9 +206,9 @@
 	}
 }
 
-// ReplaceSameVersion makes c active in place of another configuration of the same
-// version, and reports whether it did.
-func (h *Holder) ReplaceSameVersion(c *Config) bool {
-	old := h.current.Load()
-	return old != nil && old.Version == c.Version && h.current.CompareAndSwap(old, c)
+// Replace makes next active in place of old, whatever their versions, and reports
+// whether old was active. It is meant for a configuration whose history is not
+// that of the store.
+func (h *Holder) Replace(old, next *Config) bool {
+	return h.current.CompareAndSwap(old, next)
 }
--- a/internal/confsync/advance.go
+++ b/internal/confsync/advance.go
@@ -80,9 +80,9 @@
 	return errors.Join(errs...)
 }
 
-// rebuild replaces the active version by the store's version with the same number,
-// from a snapshot or from the first record on.
-func (s *Syncer) rebuild(ctx context.Context, stored storedHead) error {
+// rebuild replaces the active state by the store's version, from a snapshot or from
+// the first record on.
+func (s *Syncer) rebuild(ctx context.Context, active *state, stored storedHead) error {
 	select {
 	case s.updateLock <- struct{}{}:
 		defer func() { <-s.updateLock }()
@@ -97,7 +97,7 @@
 		source.fromEmpty = true
 		steps, err := source.steps(ctx, config.Empty(), stored.head)
 		if err == nil {
-			s.replace(steps)
+			s.replace(active, steps)
 			return nil
 		}
 		s.recordSourceFailure(source.name, stored.head, err)
@@ -106,16 +106,16 @@
 	return errors.Join(errs...)
 }
 
-// replace makes the last of the verified versions active if the active one has the
-// same number.
-func (s *Syncer) replace(steps []step) {
+// replace makes the last of the verified versions active unless the active one has
+// changed meanwhile.
+func (s *Syncer) replace(active *state, steps []step) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var next *state
 	for _, st := range steps {
 		next = next.with(st)
 	}
-	if next.config.Version != s.state.config.Version || !s.options.Holder.ReplaceSameVersion(next.config) {
+	if s.state != active || !s.options.Holder.Replace(active.config, next.config) {
 		return
 	}
 	s.state = next
--- a/internal/confsync/restore.go
+++ b/internal/confsync/restore.go
@@ -44,14 +44,33 @@
 	if !ok {
 		return nil, errRecordsMissing
 	}
+	return records, st.checkHistory(h)
+}
+
+// checkHistory returns an error if a head of the store is of a version that this
+// state includes and has another hash.
+func (st *state) checkHistory(h Head) error {
+	hash, ok := st.hashAt(h.Version)
+	if !ok || hash == h.Hash {
+		return nil
+	}
+	return config.Problem{Key: "hash of version " + fmt.Sprint(h.Version), Found: hash, Allowed: h.Hash + " (table service)"}
+}
+
+// hashAt returns the hash of a version that this state includes, or false if the
+// records that lead to it are not held.
+func (st *state) hashAt(version uint64) (string, bool) {
+	if version == st.config.Version {
+		return st.config.Hash, true
+	}
+	if version > st.config.Version || version+1 < st.oldestRecord() {
+		return "", false
+	}
 	hash := st.baseHash
-	for _, record := range st.records[:len(st.records)-len(records)] {
+	for _, record := range st.records[:version+1-st.oldestRecord()] {
 		hash = config.ChainHash(hash, record)
 	}
-	if hash != h.Hash {
-		return nil, config.Problem{Key: "hash of version " + fmt.Sprint(h.Version), Found: hash, Allowed: h.Hash + " (table service)"}
-	}
-	return records, nil
+	return hash, true
 }
 
 // restoreTxn returns the transaction that writes the first of the records, and the
--- a/internal/confsync/restore_test.go
+++ b/internal/confsync/restore_test.go
@@ -97,6 +97,29 @@
 	f.await(other.Head(), cutOff)
 }
 
+// Guards against a version that is accepted after the return of the store and does
+// not reach a VM whose lost version has a higher number.
+func TestReassignedLowerVersion(t *testing.T) {
+	f := newFleet(t)
+	cutOff, other := f.add(f.fake), f.add(f.fake)
+	before := f.fake.Copy()
+	cutOff.submitPatches(2)
+	cutOff.partitioned.Store(true)
+	f.restoreStore(before)
+	_, err := other.Submit(ctx, zonePatch("other", 0, "a", "r"))
+	assert.NilError(t, err)
+	cutOff.poll(ctx)
+	assert.NilError(t, cutOff.Ready())
+	f.await(other.Head(), cutOff)
+	cutOff.partitioned.Store(false)
+	for range 3 {
+		cutOff.submitPatches(1)
+		cutOff.sendHeartbeat()
+		other.poll(ctx)
+		f.await(cutOff.Head(), other)
+	}
+}
+
 // Guards against a VM that stays out of service for a version that it could not
 // reach and that the store has lost meanwhile.
 func TestReadyWithoutALostVersion(t *testing.T) {
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -262,7 +262,10 @@
 		s.options.OnSynced(started)
 	}
 	s.updateLag(stored.head, err)
-	if err := s.restoreLostVersions(ctx, known, stored); err != nil {
+	if s.current() != known {
+		known = nil // the next poll decides with the new state
+	}
+	if err := s.restoreLostVersions(ctx, known, stored); err != nil && !errors.Is(err, store.ErrConflict) {
 		s.options.Log.Warn("configuration versions lost by the table service were not written back", "error", err)
 	}
 	s.compact(ctx, stored)
@@ -286,23 +289,23 @@
 	}
 }
 
-// resolveDivergence detects that the active version differs from that version in
-// the store: the store lost it and has given its number to another patch. The
-// store is authoritative, so the VM takes the store's version. While it fails to,
-// it is not ready.
+// resolveDivergence detects that the store has another history than the active
+// version: it lost versions that this VM has and has given a number to another
+// patch. The store is authoritative, so the VM takes its version, even if that has
+// a lower number. While it fails to, a VM with the same number is not ready.
 func (s *Syncer) resolveDivergence(ctx context.Context, stored storedHead) error {
-	own := s.Head()
-	switch {
-	case own.Version == stored.head.Version && own.Hash != stored.head.Hash:
-		err := config.Problem{Key: "hash of version " + fmt.Sprint(own.Version), Found: own.Hash, Allowed: stored.head.Hash + " (table service)"}
-		s.options.Log.Error("active configuration diverges from the store", "error", err)
-		if rebuildErr := s.rebuild(ctx, stored); rebuildErr != nil {
-			err := errors.Join(err, rebuildErr)
+	active := s.current()
+	err := active.checkHistory(stored.head)
+	if err == nil {
+		return nil
+	}
+	s.options.Log.Error("active configuration diverges from the store", "version", active.config.Version, "stored", stored.head.Version, "error", err)
+	if rebuildErr := s.rebuild(ctx, active, stored); rebuildErr != nil {
+		err = errors.Join(err, rebuildErr)
+		if active.config.Version == stored.head.Version {
 			s.setNotReady(err)
-			return err
 		}
-	case own.Version > stored.head.Version:
-		s.options.Log.Warn("table service has an older configuration", "own", own.Version, "stored", stored.head.Version)
+		return err
 	}
 	return nil
 }
