--- a/internal/seat/restore_test.go
+++ b/internal/seat/restore_test.go
@@ -83,3 +83,18 @@
 		}
 	}
 }
+
+// Guards against VMs that lose their seats because the list of VMs went back: it
+// lacks a new VM and names one that has ended.
+func TestOlderListOfVMs(t *testing.T) {
+	sim := startSimulation(t, 3, 3, 1)
+	sim.kill(vm(0))
+	sim.startVM("10.0.1.1:7", 1)
+	sim.run(membership.AbsenceTimeout + 5*time.Second)
+	assert.Equal(t, sim.totalUsable(), 3)
+	sim.listLag = 20 * time.Second
+	for range 120 {
+		sim.run(simulationStep)
+		assert.Equal(t, sim.totalUsable(), 3)
+	}
+}
