seat: claim a resigned seat without waiting for its holder's heartbeat to age

Leaving out every seat that a peer reports as leased would have delayed the claim of a resigned seat by up to the heartbeat timeout. Only a report with a higher epoch than the row's shows that the row is from an older copy.

--- a/internal/seat/claim.go
+++ b/internal/seat/claim.go
@@ -56,7 +56,7 @@
 // ended, then vacant ones, then at most one whose takeover timeout has passed.
 // It reports whether the rows have to be read again to try another.
 func (m *Manager) claimSeat(ctx context.Context, t *seatTable) bool {
-	order := m.claimOrder()
+	order := m.claimOrder(t)
 	for _, index := range order {
 		if reason := m.holderEndedReason(t, index); reason != "" {
 			return m.writeClaim(ctx, t, index, reason)
@@ -77,9 +77,9 @@
 
 // claimOrder returns the seats in an order that differs between VMs, so that
 // VMs that start together claim different ones. Seats that a peer reports as
-// leased are left out: a row that allows a claim of one is from an older copy of
-// the store, and the peer has not read it yet.
-func (m *Manager) claimOrder() []int {
+// leased at a higher epoch than the row's are left out: the row is from an older
+// copy of the store, and the peer has not read it yet.
+func (m *Manager) claimOrder(t *seatTable) []int {
 	self := m.options.Membership.Self()
 	rank := func(index int) uint64 {
 		f := fnv.New64a()
@@ -91,7 +91,7 @@
 		out[i] = i
 	}
 	leased := m.options.Membership.SeatsOfPeers()
-	out = slices.DeleteFunc(out, func(index int) bool { return leased[index] > 0 })
+	out = slices.DeleteFunc(out, func(index int) bool { return leased[index] > t.rows[index].Epoch })
 	slices.SortFunc(out, func(a, b int) int {
 		if rank(a) < rank(b) {
 			return -1
