--- a/internal/confsync/advance.go
+++ b/internal/confsync/advance.go
@@ -80,6 +80,50 @@
 	return errors.Join(errs...)
 }
 
+// rebuild replaces the active state by the store's version, from a snapshot or from
+// the first record on.
+func (s *Syncer) rebuild(ctx context.Context, active *state, stored storedHead) error {
+	select {
+	case s.updateLock <- struct{}{}:
+		defer func() { <-s.updateLock }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	errs := []error{fmt.Errorf("version %d has no source that verifies", stored.head.Version)}
+	for _, source := range s.sources(stored.head, &stored.compaction) {
+		if source.fromEmpty {
+			continue // the same as the table service before it
+		}
+		source.fromEmpty = true
+		steps, err := source.steps(ctx, config.Empty(), stored.head)
+		if err == nil {
+			s.replace(active, steps)
+			return nil
+		}
+		s.recordSourceFailure(source.name, stored.head, err)
+		errs = append(errs, fmt.Errorf("%s: %w", source.name, err))
+	}
+	return errors.Join(errs...)
+}
+
+// replace makes the last of the verified versions active unless the active one has
+// changed meanwhile.
+func (s *Syncer) replace(active *state, steps []step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var next *state
+	for _, st := range steps {
+		next = next.with(st)
+	}
+	if s.state != active || !s.options.Holder.Replace(active.config, next.config) {
+		return
+	}
+	s.state = next
+	s.activatedAt = time.Now()
+	s.notReady = nil
+	s.options.Log.Warn("configuration replaced by that of the table service", "version", next.config.Version, "hash", next.config.Hash)
+}
+
 // recordSourceFailure logs that target was not reached from a source, and counts
 // the bundles that do not verify.
 func (s *Syncer) recordSourceFailure(source string, target Head, err error) {
@@ -230,17 +274,28 @@
 		next.checkpoint = st.checkpoint
 		if st.config.Hash == p.previous {
 			next.records = append(next.records, st.records...)
+			next.baseHash = st.baseHash
 		}
 	}
+	if len(next.records) == 0 {
+		next.baseHash = p.previous
+	}
 	next.records = append(next.records, p.record)
 	if p.config.Version%config.SnapshotInterval == 0 {
 		next.checkpoint = newCheckpoint(p)
-		keep := min(len(next.records), config.SnapshotInterval)
-		next.records = next.records[len(next.records)-keep:]
+		next.dropRecords(len(next.records) - config.SnapshotInterval)
 	}
 	return next
 }
 
+// dropRecords drops the n oldest records; n may be negative.
+func (st *state) dropRecords(n int) {
+	for range n {
+		st.baseHash = config.ChainHash(st.baseHash, st.records[0])
+		st.records = st.records[1:]
+	}
+}
+
 func newCheckpoint(p step) *checkpoint {
 	c := &checkpoint{config: p.config, previous: p.previous, record: p.record}
 	c.encoded = sync.OnceValue(func() []byte {
