Answer the requests that are left at the end of the grace time

What callers saw: a request that was queued, or at a silent target, when the grace time of its VM ended got a closed connection: neither a response nor a refusal.

Cause: after http.Server.Shutdown has timed out, the process exits at once.

Fix: at the end of the grace time all calls are cancelled, and their callers get up to 200 ms for the final response, within the 400 ms that the process keeps free before it is killed. Handlers then end as at a deadline: a queued call is refused with 503 (it was not sent), one at a target gets 502, and a stream that has begun is still aborted, now with a log line. No call ends earlier than before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -64,14 +64,25 @@
 	watchdogs watchdogSet
 	stopping  atomic.Bool
 	active    atomic.Int64
+	// lifetime is done when calls get no more time; endCalls ends it.
+	lifetime context.Context
+	endCalls context.CancelFunc
 }
 
 // Init must be called before the handler is used.
-func (h *Handler) Init() { h.bodyBudget = budget.NewBytes(maxBufferedBytes) }
+func (h *Handler) Init() {
+	h.bodyBudget = budget.NewBytes(maxBufferedBytes)
+	h.lifetime, h.endCalls = context.WithCancel(context.Background())
+}
 
 // StartDrain makes the handler ask callers to close their connections.
 func (h *Handler) StartDrain() { h.stopping.Store(true) }
 
+// EndCalls ends all calls in progress, because the process is about to exit. A call whose
+// response has not begun is answered: a closed connection would not tell its caller whether the
+// request may have run.
+func (h *Handler) EndCalls() { h.endCalls() }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
@@ -96,6 +107,8 @@
 	h.setWriteDeadline(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	stop := context.AfterFunc(h.lifetime, cancel)
+	defer stop()
 	h.RetryBudget.RecordRequest(c.service)
 	h.serve(ctx, c)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -44,10 +44,12 @@
 	// balancer probes readiness once a second and needs two failed probes.
 	drainAcceptTime = 2500 * time.Millisecond
 	// stopMargin is subtracted from the grace time, so that the process exits
-	// before it is killed.
-	stopMargin     = 400 * time.Millisecond
-	tickInterval   = 100 * time.Millisecond
-	maxHeaderBytes = 64 << 10
+	// before it is killed. Within it, the callers of requests that are not
+	// complete get finalResponseTime to receive a response.
+	stopMargin        = 400 * time.Millisecond
+	finalResponseTime = 200 * time.Millisecond
+	tickInterval      = 100 * time.Millisecond
+	maxHeaderBytes    = 64 << 10
 	// headerTimeout and idleTimeout limit slow and idle callers. Both are longer
 	// than the timeouts that configurations set.
 	headerTimeout = 10 * time.Second
@@ -391,10 +393,22 @@
 	defer cancel()
 	wait.For(ctx, min(drainAcceptTime, grace/2))
 	if err := p.callerServer.Shutdown(ctx); err != nil {
-		p.log.Warn("requests aborted at the end of the grace time", "active", p.handler.Active(), "error", err)
+		p.endCalls()
 	}
 	p.mesh.Leave()
 	wait.For(ctx, 20*time.Millisecond)
 	p.pool.Close()
 	p.log.Info("stopped", "active", p.handler.Active())
 }
+
+// endCalls ends the requests that are not complete at the end of the grace time, and gives
+// their callers a moment to receive the final responses.
+func (p *Process) endCalls() {
+	p.log.Warn("requests ended at the end of the grace time", "active", p.handler.Active())
+	p.handler.EndCalls()
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
+	defer cancel()
+	if err := p.callerServer.Shutdown(ctx); err != nil {
+		p.log.Warn("connections aborted", "active", p.handler.Active(), "error", err)
+	}
+}
