Spread the registrations of VMs in a new epoch of the store

After a return all VMs would write their rows and list the table within a second, when the operator and the targets write, too: the store takes 150 to 200 transactions a second of that part, and there may be 300 VMs. Each VM now waits up to 10 ms for each VM known.

--- a/internal/process/join.go
+++ b/internal/process/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,6 +16,9 @@
 const (
 	joinRetryInterval = time.Second // between attempts to register
 	joinTimeout       = 2 * time.Second
+	// registrationInterval is the mean time between the registrations of different VMs in
+	// a new epoch of the store.
+	registrationInterval = 10 * time.Millisecond
 )
 
 // vmRow is the value of a VM's row in the store, from which other VMs learn its
@@ -38,9 +42,16 @@
 		}
 		for p.storeEpoch() <= epoch && wait.For(ctx, joinRetryInterval) {
 		}
+		wait.For(ctx, rand.N(p.registrationSpread()))
 	}
 }
 
+// registrationSpread returns the time over which the VMs spread their registrations in a new
+// epoch. The store serializes the writes of all VMs and those of the operator.
+func (p *Process) registrationSpread() time.Duration {
+	return time.Duration(p.mesh.Status().KnownPeers+1) * registrationInterval
+}
+
 // addSeeds adds the seed VMs of the settings as peers. All VMs use the same port
 // for heartbeats.
 func (p *Process) addSeeds() {
