--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,7 +193,7 @@
 func (h *Holder) Current() *Config { return h.current.Load() }
 
 // PublishIfNewer makes c active if its version is higher than the active one, and
-// reports whether it did. The active version never decreases.
+// reports whether it did. The active version decreases only through Replace.
 func (h *Holder) PublishIfNewer(c *Config) bool {
 	for {
 		old := h.current.Load()
@@ -205,3 +205,10 @@
 		}
 	}
 }
+
+// Replace makes next active in place of old, whatever their versions, and reports
+// whether old was active. It is meant for a configuration whose history is not
+// that of the store.
+func (h *Holder) Replace(old, next *Config) bool {
+	return h.current.CompareAndSwap(old, next)
+}
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -81,6 +81,8 @@
 	// records holds the records of consecutive versions; the last one is that of
 	// config.
 	records [][]byte
+	// baseHash is the hash of the version before the first of records.
+	baseHash string
 }
 
 func (st *state) head() Head { return Head{Version: st.config.Version, Hash: st.config.Hash} }
@@ -244,6 +246,7 @@
 // poll reads the head of the store and catches up with it.
 func (s *Syncer) poll(ctx context.Context) {
 	s.dropDepartedPeers()
+	known := s.current()
 	started := s.options.Now()
 	stored, err := s.readHead(ctx)
 	if err != nil {
@@ -252,20 +255,29 @@
 		return
 	}
 	err = s.advanceTo(ctx, stored.head, &stored.compaction)
+	if err == nil {
+		err = s.resolveDivergence(ctx, stored)
+	}
 	if err == nil {
 		s.options.OnSynced(started)
 	}
 	s.updateLag(stored.head, err)
-	s.checkDivergence(stored.head)
+	if s.current() != known {
+		known = nil // the next poll decides with the new state
+	}
+	if err := s.restoreLostVersions(ctx, known, stored); err != nil && !errors.Is(err, store.ErrConflict) {
+		s.options.Log.Warn("configuration versions lost by the table service were not written back", "error", err)
+	}
 	s.compact(ctx, stored)
 }
 
-// updateLag makes the VM not ready if it fails for longer than maxLag to reach a
-// version that it knows to be accepted. It might otherwise keep sending work to a
-// zone that is out of service.
+// updateLag makes the VM ready after a poll that succeeded, and not ready if it
+// fails for longer than maxLag to reach a version that it knows to be accepted. It
+// might otherwise keep sending work to a zone that is out of service.
 func (s *Syncer) updateLag(stored Head, err error) {
 	if err == nil {
 		s.laggingSince = time.Time{}
+		s.setNotReady(nil)
 		return
 	}
 	s.options.Log.Error("configuration out of date", "version", stored.Version, "error", err)
@@ -277,20 +289,25 @@
 	}
 }
 
-// checkDivergence detects that a version applied from peers during a store outage
-// differs from that version in the store. The VM then becomes not ready. It
-// recovers with the next version, which it builds from a snapshot or from the
-// first record.
-func (s *Syncer) checkDivergence(stored Head) {
-	own := s.Head()
-	switch {
-	case own.Version == stored.Version && own.Hash != stored.Hash:
-		err := config.Problem{Key: "hash of version " + fmt.Sprint(own.Version), Found: own.Hash, Allowed: stored.Hash + " (table service)"}
-		s.options.Log.Error("active configuration diverges from the store", "error", err)
-		s.setNotReady(err)
-	case own.Version > stored.Version:
-		s.options.Log.Warn("table service has an older configuration", "own", own.Version, "stored", stored.Version)
+// resolveDivergence detects that the store has another history than the active
+// version: it lost versions that this VM has and has given a number to another
+// patch. The store is authoritative, so the VM takes its version, even if that has
+// a lower number. While it fails to, a VM with the same number is not ready.
+func (s *Syncer) resolveDivergence(ctx context.Context, stored storedHead) error {
+	active := s.current()
+	err := active.checkHistory(stored.head)
+	if err == nil {
+		return nil
+	}
+	s.options.Log.Error("active configuration diverges from the store", "version", active.config.Version, "stored", stored.head.Version, "error", err)
+	if rebuildErr := s.rebuild(ctx, active, stored); rebuildErr != nil {
+		err = errors.Join(err, rebuildErr)
+		if active.config.Version == stored.head.Version {
+			s.setNotReady(err)
+		}
+		return err
 	}
+	return nil
 }
 
 // advanceFromPeers catches up with the peer that has the highest version. Any
--- a/internal/storesync/storesync.go
+++ b/internal/storesync/storesync.go
@@ -112,6 +112,7 @@
 	lastContact atomic.Pointer[time.Time] // time of the last response; nil if none
 	failing     atomic.Bool
 	endPause    atomic.Pointer[context.CancelFunc] // of the last pause after a failed call
+	endWatch    atomic.Pointer[context.CancelCauseFunc]
 }
 
 // Failing reports whether the last call to the store failed.
@@ -163,11 +164,16 @@
 	wait.For(ctx, d)
 }
 
-// Retry ends the pause after a failed call.
+// Retry ends the pause after a failed call, or the watch, because another table has shown a
+// later epoch of the store. The table is listed then: the store may hold the watch without
+// telling its epoch, and net/http repeats a call on a reset connection without an error.
 func (s *Syncer) Retry() {
 	if end := s.endPause.Load(); end != nil {
 		(*end)()
 	}
+	if end := s.endWatch.Load(); end != nil {
+		(*end)(errEpochChanged)
+	}
 }
 
 func (s *Syncer) step(ctx context.Context, listed *bool) error {
@@ -221,20 +227,24 @@
 	longPoll := s.longPoll()
 	ctx, cancel := context.WithTimeout(ctx, longPoll+watchGrace)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	s.endWatch.Store(&end)
 	changes, err := s.read(ctx, longPoll)
-	if err != nil {
-		return err
-	}
 	if len(changes) > 0 {
 		wait.For(ctx, s.MinWatchInterval)
 	}
-	return nil
+	if errors.Is(context.Cause(ctx), errEpochChanged) {
+		return errEpochChanged
+	}
+	return err
 }
 
 // longPoll returns how long the next watch may wait for changes. It does not wait when
 // the replica was not confirmed for long, for example after the VM was suspended, nor
 // after a failed call: a restored store that has reached the replica's version again
-// would tell its epoch only at the end of the wait.
+// would tell its epoch only at the end of the wait. While evidence is suspended no response
+// confirms the replica, so that watches that do not wait would follow each other at once.
 func (s *Syncer) longPoll() time.Duration {
 	if s.failing.Load() {
 		return 0
@@ -243,7 +253,7 @@
 		return defaultLongPoll
 	}
 	longPoll := s.LongPoll()
-	if s.Freshness.Age() > 2*longPoll {
+	if s.Freshness.Age() > 2*longPoll && !s.evidenceSuspended() {
 		return 0
 	}
 	return longPoll
@@ -280,11 +290,15 @@
 // confirm implements Confirm for a time of the replica's epoch. The caller must hold
 // applying.
 func (s *Syncer) confirm(storeTime time.Duration) {
-	if s.EvidenceSuspended == nil || !s.EvidenceSuspended() {
+	if !s.evidenceSuspended() {
 		s.Freshness.Confirm(storeTime)
 	}
 }
 
+func (s *Syncer) evidenceSuspended() bool {
+	return s.EvidenceSuspended != nil && s.EvidenceSuspended()
+}
+
 // Clock returns an upper bound of the store's clock, and the epoch to which it belongs.
 func (s *Syncer) Clock() (epoch uint64, storeTime time.Duration, ok bool) {
 	s.applying.Lock()
