Fault matrix: a failed cell prints the logs of processes that have ended

Two cells were red once because the process of a VM was gone (KNOWN-RED.txt); its own output was not kept, so that the cause is unknown. Not seen again since.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -440,6 +440,9 @@
 	return e.exited
 }
 
+// Running reports whether the process has not ended.
+func (e *Entry) Running() bool { return e.cmd.Process.Signal(syscall.Signal(0)) == nil }
+
 // Log returns the last part of the process's log.
 func (e *Entry) Log() string { return e.output.String() }
 
--- a/test/matrix/matrix_test.go
+++ b/test/matrix/matrix_test.go
@@ -207,7 +207,7 @@
 }
 
 // logFailures logs the requests that failed and the engine's record, and the
-// logs of the VMs if FLEET_LOGS is set.
+// logs of the VMs whose processes have ended, or of all if FLEET_LOGS is set.
 func (r *cellRun) logFailures() {
 	for _, s := range r.streams {
 		if !s.Complete {
@@ -227,8 +227,8 @@
 		}
 	}
 	for i, e := range r.harness.fleet.Entries {
-		if os.Getenv("FLEET_LOGS") != "" {
-			r.t.Logf("VM %d: %s", i, e.Log())
+		if os.Getenv("FLEET_LOGS") != "" || !e.Running() {
+			r.t.Logf("VM %d, running %v: %s", i, e.Running(), e.Log())
 		}
 	}
 }
