--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,10 @@
 	// changed because the store lost a later write of it, and is not known to have been
 	// written since.
 	Restored bool `msgpack:"-"`
+	// Presumed marks, inside a replica, a tombstone of a row that the first listing of an
+	// epoch lacks: the store may have lost the row, or it was deleted. The tombstone has the
+	// version of the listing.
+	Presumed bool `msgpack:"-"`
 }
 
 // Delta is a set of changes of one table. It advances a replica that has all
@@ -72,6 +76,9 @@
 	position Position
 	// base is the lowest version of the store that is known of the epoch, see Delta.
 	base uint64
+	// restored holds the keys of the rows that were reported as restored in the epoch and
+	// are not known to have been written since.
+	restored map[string]bool
 	// deletesKnownFrom is the version after which all deletions are known. A
 	// listing does not show which rows were deleted before it.
 	deletesKnownFrom uint64
@@ -94,13 +101,22 @@
 
 // Base returns the lowest version of the store that is known of the replica's epoch.
 func (r *Replica) Base() uint64 {
+	_, base := r.PositionAndBase()
+	return base
+}
+
+// PositionAndBase returns Position and Base of the same moment, so that the base belongs to
+// the position's epoch.
+func (r *Replica) PositionAndBase() (Position, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.base
+	return r.position, r.base
 }
 
 // ChangesSince returns the changes after a position. The delta is complete if
-// deletions after that position may be unknown, or if it belongs to another epoch.
+// deletions after that position may be unknown, or if it belongs to another epoch. A replica
+// that moves on to this epoch must find out itself which of its rows the store has lost, so
+// it is not told presumed deletions.
 func (r *Replica) ChangesSince(from Position) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -110,6 +126,7 @@
 	}
 	for _, record := range r.records {
 		switch {
+		case record.Presumed && from.Epoch != r.position.Epoch:
 		case record.Version > d.From:
 			d.Records = append(d.Records, record)
 		case d.Complete && !record.Deleted:
@@ -164,7 +181,8 @@
 	}
 	var written []Record
 	for _, record := range r.records {
-		if record.Version > base && record.Version <= r.base && !record.Deleted {
+		if record.Version > base && r.restored[record.Key] {
+			delete(r.restored, record.Key)
 			written = append(written, r.annotate(record, false))
 		}
 	}
@@ -174,7 +192,7 @@
 
 // annotate returns a record as it is handed to consumers. The caller must hold mu.
 func (r *Replica) annotate(record Record, restored bool) Record {
-	record.Epoch, record.Restored = r.position.Epoch, restored
+	record.Epoch, record.Restored, record.Presumed = r.position.Epoch, restored, false
 	return record
 }
 
@@ -187,6 +205,7 @@
 			continue
 		}
 		r.records[record.Key] = record
+		delete(r.restored, record.Key)
 		changed = append(changed, r.annotate(record, false))
 	}
 	return changed
@@ -218,6 +237,7 @@
 		}
 		tombstone := Record{Key: key, Version: to.Version, Deleted: true}
 		r.records[key] = tombstone
+		delete(r.restored, key)
 		changed = append(changed, r.annotate(tombstone, false))
 	}
 	r.position, r.deletesKnownFrom = to, to.Version
@@ -230,7 +250,7 @@
 // caller must hold mu.
 func (r *Replica) enterEpoch(records []Record, to Position, base uint64) []Record {
 	known := r.records
-	r.records = make(map[string]Record, len(records))
+	r.records, r.restored = make(map[string]Record, len(records)), map[string]bool{}
 	r.position, r.base, r.deletesKnownFrom = to, cmp.Or(base, to.Version), to.Version
 	var changed []Record
 	for _, record := range records {
@@ -240,6 +260,9 @@
 			continue
 		}
 		restored := ok && old.Version > record.Version && record.Version <= r.base
+		if restored && !record.Deleted {
+			r.restored[record.Key] = true
+		}
 		changed = append(changed, r.annotate(record, restored))
 	}
 	listed := keysOf(records)
@@ -247,7 +270,7 @@
 		if listed[key] || old.Deleted {
 			continue
 		}
-		tombstone := Record{Key: key, Version: to.Version, Deleted: true}
+		tombstone := Record{Key: key, Version: to.Version, Deleted: true, Presumed: true}
 		r.records[key] = tombstone
 		changed = append(changed, r.annotate(tombstone, true))
 	}
--- a/internal/seat/claim.go
+++ b/internal/seat/claim.go
@@ -35,11 +35,28 @@
 	}
 }
 
+// updateHighestEpochs records the epochs of the rows, of this VM's seats and of
+// the seats of peers.
+func (m *Manager) updateHighestEpochs(t *seatTable) {
+	record := func(index int, epoch uint64) {
+		m.highestEpochs[index] = max(m.highestEpochs[index], epoch)
+	}
+	for index, r := range t.rows {
+		record(index, r.Epoch)
+	}
+	for _, s := range *m.heldSeats.Load() {
+		record(s.Index, s.Epoch)
+	}
+	for index, epoch := range m.options.Membership.SeatsOfPeers() {
+		record(index, epoch)
+	}
+}
+
 // claimSeat tries to claim one seat: first seats whose holder is known to have
 // ended, then vacant ones, then at most one whose takeover timeout has passed.
 // It reports whether the rows have to be read again to try another.
 func (m *Manager) claimSeat(ctx context.Context, t *seatTable) bool {
-	order := m.claimOrder()
+	order := m.claimOrder(t)
 	for _, index := range order {
 		if reason := m.holderEndedReason(t, index); reason != "" {
 			return m.writeClaim(ctx, t, index, reason)
@@ -59,8 +76,10 @@
 }
 
 // claimOrder returns the seats in an order that differs between VMs, so that
-// VMs that start together claim different ones.
-func (m *Manager) claimOrder() []int {
+// VMs that start together claim different ones. Seats that a peer reports as
+// leased at a higher epoch than the row's are left out: the row is from an older
+// copy of the store, and the peer has not read it yet.
+func (m *Manager) claimOrder(t *seatTable) []int {
 	self := m.options.Membership.Self()
 	rank := func(index int) uint64 {
 		f := fnv.New64a()
@@ -71,6 +90,8 @@
 	for i := range out {
 		out[i] = i
 	}
+	leased := m.options.Membership.SeatsOfPeers()
+	out = slices.DeleteFunc(out, func(index int) bool { return leased[index] > t.rows[index].Epoch })
 	slices.SortFunc(out, func(a, b int) int {
 		if rank(a) < rank(b) {
 			return -1
@@ -164,7 +185,7 @@
 	old := t.rows[index]
 	next := row{
 		Holder:            m.options.Membership.Self(),
-		Epoch:             old.Epoch + 1,
+		Epoch:             max(old.Epoch, m.highestEpochs[index]) + 1,
 		TakeoverTimeoutMs: m.takeoverTimeout().Milliseconds(),
 	}
 	txn := store.Txn{
