--- a/review/build.sh
+++ b/review/build.sh
@@ -9,4 +9,4 @@
   cp "$file" "$source/$(basename "$file" .txt)"
 done
 mkdir -p target/review
-(cd "$source" && GOFLAGS=-mod=mod GOWORK=off go build -o "$OLDPWD/target/review/standin" .)
+(cd "$source" && GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local go build -o "$OLDPWD/target/review/standin" .)
