--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -128,7 +128,12 @@
 func (h *Handler) buildRequest(c *call, a *attempt) upstream.Request {
 	left := max(c.remaining(), minTimeout)
 	info := ForwardInfo{Timeout: left, Target: a.d.target.ID, Account: c.accountName(), Urgency: -1, LastEventID: a.resume.lastEventID, Helpers: a.helpers}
+	reuse := upstream.ReuseIdle
+	if c.route.Kind == topology.AtMostOnce {
+		reuse = upstream.DialThenKeep
+	}
 	return upstream.Request{
+		ID: c.meta.ID, Reuse: reuse, ResponseID: h.responseID, OnForeign: func(f upstream.ForeignResponse) { h.recordForeign(c.meta.ID, a.d.target, f) },
 		Method: c.request.Method, URI: c.request.URL.RequestURI(), Host: c.request.Host,
 		Header: h.Protocol.ForwardHeader(c.request.Header, info), Body: c.body,
 	}
@@ -141,10 +146,7 @@
 	h.observe(c, a)
 	request := h.buildRequest(c, a)
 	request.BeforeSend = func() error { return errors.Join(checkCaller(a.ctx), h.admitAll(a.d.targets()...)) }
-	e, err := h.Pool.Do(a.ctx, target.ID, target.Address, request, c.route.Kind == topology.AtMostOnce, func(header http.Header) bool {
-		id := h.Protocol.ParseResponse(0, header).ID
-		return id == "" || id == c.meta.ID
-	})
+	e, err := h.Pool.Do(a.ctx, target.ID, target.Address, request)
 	if err != nil {
 		return classifyFailure(c, err), err
 	}
@@ -155,6 +157,19 @@
 	return h.readResponse(c, a, info)
 }
 
+// responseID returns the id of the request that a response belongs to.
+func (h *Handler) responseID(header http.Header) string {
+	return h.Protocol.ParseResponse(0, header).ID
+}
+
+// recordForeign records a response that arrived in place of that to a request, which is a
+// caller's id or the path of a command.
+func (h *Handler) recordForeign(request string, t *topology.Target, f upstream.ForeignResponse) {
+	h.Metrics.CountForeignResponse()
+	h.Log.Warn("response to another request dropped", "request", request, "target", t.ID, "service", t.Service,
+		"response_id", f.ID, "status", f.Status, "position", f.Position)
+}
+
 // classifyFailure returns the outcome of an attempt without a response.
 func classifyFailure(c *call, err error) outcome {
 	var failure *upstream.Error
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -31,6 +31,11 @@
 	m.set.GetOrCreateCounter("oriole_quarantine_refusals_total").Inc()
 }
 
+// CountForeignResponse counts a response that arrived in place of that to another request.
+func (m *Metrics) CountForeignResponse() {
+	m.set.GetOrCreateCounter("oriole_foreign_responses_total").Inc()
+}
+
 // CountTargetCrash counts a request under which a target crashed before it was answered.
 func (m *Metrics) CountTargetCrash() {
 	m.set.GetOrCreateCounter("oriole_target_crash_evidence_total").Inc()
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -291,14 +291,15 @@
 	dials := 0
 	h.Pool = upstream.NewPool(func() { dials++ })
 	idle, _ := recordingTarget(t, "Content-Length: 2")
-	get := func() {
-		e, err := h.Pool.Do(t.Context(), "a", idle, upstream.Request{Method: "GET", URI: "/x", Host: "h"}, false, func(http.Header) bool { return true })
+	get := func(id string) {
+		r := upstream.Request{ID: id, Method: "GET", URI: "/x", Host: "h", ResponseID: func(http.Header) string { return id }}
+		e, err := h.Pool.Do(t.Context(), "a", idle, r)
 		assert.NilError(t, err)
 		io.Copy(io.Discard, e.Body)
 		e.Complete()
 	}
-	get()
-	get()
+	get("1")
+	get("2")
 	assert.Equal(t, dials, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -319,7 +320,7 @@
 		t.Fatalf("ended before its body: %v", o)
 	default:
 	}
-	get()
+	get("3")
 	assert.Equal(t, dials, 3, "the idle connection was kept")
 	cancel()
 	<-ended
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -226,13 +226,17 @@
 }
 
 // sendCommand sends a command to an engine, unless admit returns an error. onUnconfirmed is called when the engine may
-// have accepted it without a response.
+// have accepted it without a response. The response to a command has no id, so that each command has a connection of
+// its own.
 func (h *Handler) sendCommand(ctx context.Context, t *topology.Target, command Command, admit func() error, onUnconfirmed func()) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	h.Metrics.CountCommand()
-	request := upstream.Request{Method: http.MethodPost, URI: command.URI, Host: t.Address, Header: command.Header, Body: command.Body, BeforeSend: admit}
-	e, err := h.Pool.Do(ctx, t.ID, t.Address, request, false, func(http.Header) bool { return true })
+	request := upstream.Request{
+		Reuse: upstream.DialThenClose, ResponseID: h.responseID, OnForeign: func(f upstream.ForeignResponse) { h.recordForeign(command.URI, t, f) },
+		Method: http.MethodPost, URI: command.URI, Host: t.Address, Header: command.Header, Body: command.Body, BeforeSend: admit,
+	}
+	e, err := h.Pool.Do(ctx, t.ID, t.Address, request)
 	if errors.Is(err, errNotAdmitted) {
 		return err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,6 +1,10 @@
 // Package upstream sends requests to targets over pooled connections. Each failure states
-// whether a byte of the request may have reached the target, and bytes that belong to the
-// response to another request are never taken for the response.
+// whether a byte of the request may have reached the target.
+//
+// A target may send a second copy of a response late, where the response to the next request on
+// the connection is expected. The response to a request is therefore recognized by the id of the
+// request, and by its position only on a connection that has carried nothing else. A connection
+// on which any other response arrived is not used again.
 package upstream
 
 import (
@@ -44,8 +48,25 @@
 	maxHeadBytes = 256 << 10
 )
 
+// Reuse is how the connection of a request may be shared with other requests.
+type Reuse uint8
+
+// Values of Reuse.
+const (
+	// ReuseIdle takes an idle connection if there is one, and keeps the connection afterwards.
+	ReuseIdle Reuse = iota
+	// DialThenKeep opens a connection, which is kept for other requests afterwards.
+	DialThenKeep
+	// DialThenClose opens a connection that carries nothing else. It is the only choice for a
+	// request without an id.
+	DialThenClose
+)
+
 // Request is a request to a target.
 type Request struct {
+	// ID is the id that the target repeats in its response; empty if it repeats none.
+	ID     string
+	Reuse  Reuse
 	Method string
 	// URI is the path and query as sent by the caller.
 	URI    string
@@ -55,6 +76,34 @@
 	// BeforeSend is called before the first byte is written; after an error nothing is sent.
 	// It may be nil.
 	BeforeSend func() error
+	// ResponseID returns the id of the request that a response header belongs to; empty if the
+	// header has none.
+	ResponseID func(http.Header) string
+	// OnForeign is called for each response on the connection that does not belong to this
+	// request. It may be nil.
+	OnForeign func(ForeignResponse)
+}
+
+// ForeignResponse is a response that arrived where that to another request was expected.
+type ForeignResponse struct {
+	Status int
+	// ID is the id of the request that the response belongs to, if it has one.
+	ID string
+	// Position is the number of requests that the connection has carried.
+	Position int
+}
+
+func (r Request) reportForeign(f ForeignResponse) {
+	if r.OnForeign != nil {
+		r.OnForeign(f)
+	}
+}
+
+func (r Request) reuse() Reuse {
+	if r.ID == "" {
+		return DialThenClose
+	}
+	return r.Reuse
 }
 
 func (r Request) beforeSend() error {
@@ -87,7 +136,9 @@
 // Errors of exchanges.
 var (
 	errForeignResponse = errors.New("target sent only responses to other requests")
-	errUnexpectedData  = errors.New("connection carries unexpected bytes")
+	// errUnidentifiedResponse is not skipped: the target may send no other response.
+	errUnidentifiedResponse = errors.New("target sent a response without an id on a connection with earlier requests")
+	errUnexpectedData       = errors.New("connection carries unexpected bytes")
 )
 
 // Pool is a pool of connections to targets.
@@ -117,6 +168,8 @@
 	limiter   *readLimiter // below reader
 	reader    *bufio.Reader
 	used      int
+	lastID    string        // of the latest request
+	spoiled   bool          // true if it must not be used again
 	idleUntil time.Time     // when the idle connection expires
 	written   chan struct{} // closed when the request was written
 	writeErr  error         // valid after written is closed
@@ -131,28 +184,20 @@
 	done bool
 }
 
-// Do sends a request and returns the response, of which only the header was read. matches
-// reports whether a response header belongs to this request. fresh forces a new connection.
-// The connection is closed when ctx is done before the exchange is complete.
-func (p *Pool) Do(ctx context.Context, key, address string, r Request, fresh bool, matches func(http.Header) bool) (*Exchange, error) {
-	var c *conn
-	if !fresh {
-		c = p.takeIdle(key, address)
-	}
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, key, address); err != nil {
-			return nil, &Error{Address: address, Cause: err}
-		}
+// Do sends a request and returns the response, of which only the header was read. The
+// connection is closed when ctx is done before the exchange is complete.
+func (p *Pool) Do(ctx context.Context, key, address string, r Request) (*Exchange, error) {
+	c, err := p.connect(ctx, key, address, r)
+	if err != nil {
+		return nil, &Error{Address: address, Cause: err}
 	}
-	c.used++
 	if err := errors.Join(ctx.Err(), r.beforeSend()); err != nil {
 		c.Close()
 		return nil, &Error{Address: address, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	c.send(r)
-	resp, err := c.readResponse(r.Method, matches)
+	resp, err := c.readResponse(r)
 	if err != nil {
 		stop()
 		c.Close()
@@ -164,6 +209,24 @@
 	return &Exchange{Response: resp, pool: p, conn: c, stop: stop}, nil
 }
 
+// connect returns the connection for a request, which counts as carried by it from then on.
+func (p *Pool) connect(ctx context.Context, key, address string, r Request) (*conn, error) {
+	var c *conn
+	if r.reuse() == ReuseIdle {
+		c = p.takeIdle(key, address, r.ID)
+	}
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, key, address); err != nil {
+			return nil, err
+		}
+	}
+	c.used++
+	c.lastID = r.ID
+	c.spoiled = r.reuse() == DialThenClose
+	return c, nil
+}
+
 func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -213,20 +276,26 @@
 
 // readResponse reads the status and header of the response. It skips late responses to
 // requests that were sent on the connection before.
-func (c *conn) readResponse(method string, matches func(http.Header) bool) (*http.Response, error) {
+func (c *conn) readResponse(r Request) (*http.Response, error) {
 	c.limiter.limit(maxHeadBytes)
 	defer c.limiter.unlimit()
 	for range maxStaleResponses + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < 200 {
 			continue // an interim response
 		}
-		if matches(resp.Header) {
+		id := r.ResponseID(resp.Header)
+		if c.answers(r, id) {
 			return resp, nil
 		}
+		c.spoiled = true
+		r.reportForeign(ForeignResponse{Status: resp.StatusCode, ID: id, Position: c.used})
+		if id == "" {
+			return nil, errUnidentifiedResponse
+		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 			return nil, errForeignResponse
 		}
@@ -234,6 +303,15 @@
 	return nil, errForeignResponse
 }
 
+// answers reports whether a response with an id, which may be empty, is that to a request. One
+// without an id is, if nothing else was sent on the connection.
+func (c *conn) answers(r Request, id string) bool {
+	if id == "" {
+		return c.used == 1
+	}
+	return id == r.ID
+}
+
 // Complete ends the exchange after the complete response was read. The connection is returned
 // to the pool if nothing else has arrived on it.
 func (e *Exchange) Complete() {
@@ -254,7 +332,7 @@
 	default:
 		return false
 	}
-	return e.conn.writeErr == nil && !e.Response.Close && e.conn.reader.Buffered() == 0 && !e.EndsWithConnection()
+	return e.conn.writeErr == nil && !e.conn.spoiled && !e.Response.Close && e.conn.reader.Buffered() == 0 && !e.EndsWithConnection()
 }
 
 // EndsWithConnection reports whether the response has neither a length nor chunks: only the end
@@ -298,8 +376,9 @@
 }
 
 // takeIdle returns the most recently used idle connection that is still healthy, or nil. It
-// closes those to an earlier address of the target.
-func (p *Pool) takeIdle(key, address string) *conn {
+// closes those to an earlier address of the target, and those whose latest request had the same
+// id: a second copy of its response could not be told from the response to this one.
+func (p *Pool) takeIdle(key, address, id string) *conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[key]
@@ -310,7 +389,7 @@
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
 		p.mu.Unlock()
-		if c.address == address && time.Now().Before(c.idleUntil) && c.checkIdle() == nil {
+		if c.address == address && c.lastID != id && time.Now().Before(c.idleUntil) && c.checkIdle() == nil {
 			return c
 		}
 		c.Close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -44,12 +44,18 @@
 }
 
 func get(id string) Request {
-	return Request{Method: "GET", URI: "/" + id, Host: "h", Header: http.Header{"Id": {id}}}
+	return Request{ID: id, Method: "GET", URI: "/" + id, Host: "h", Header: http.Header{"Id": {id}},
+		ResponseID: func(h http.Header) string { return h.Get("Id") }}
 }
 
 // do sends a request and reads the complete response.
 func do(t *testing.T, p *Pool, address, id string) (string, error) {
-	e, err := p.Do(t.Context(), "target", address, get(id), false, func(h http.Header) bool { return h.Get("Id") == id })
+	return exchange(t, p, address, get(id))
+}
+
+// exchange is like do, for any request.
+func exchange(t *testing.T, p *Pool, address string, r Request) (string, error) {
+	e, err := p.Do(t.Context(), "target", address, r)
 	if err != nil {
 		return "", err
 	}
@@ -139,6 +145,98 @@
 	}
 }
 
+// Guards against a connection that is used again after a response arrived on it that belongs to
+// no request: another one may follow.
+func TestForeignResponseSpoilsConnection(t *testing.T) {
+	dialed := 0
+	p := NewPool(func() { dialed++ })
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader, n int) {
+		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+			id := req.Header.Get("Id")
+			if n == 0 && id == "two" {
+				write(c, "one", "late")
+			}
+			write(c, id, "for "+id)
+		}
+	})
+	var foreign []ForeignResponse
+	for _, id := range []string{"one", "two", "three"} {
+		r := get(id)
+		r.OnForeign = func(f ForeignResponse) { foreign = append(foreign, f) }
+		body, err := exchange(t, p, address, r)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "for "+id)
+	}
+	assert.Equal(t, dialed, 2)
+	assert.DeepEqual(t, foreign, []ForeignResponse{{Status: 200, ID: "one", Position: 2}})
+}
+
+// Guards against a response without an id that is taken for the response to a request although
+// the connection has carried others. The only request of a connection may be answered so.
+func TestResponseWithoutIDOnUsedConnection(t *testing.T) {
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+			if id := req.Header.Get("Id"); id == "first" {
+				write(c, id, "ok")
+				continue
+			}
+			io.WriteString(c, "HTTP/1.1 409 Conflict\r\nContent-Length: 10\r\n\r\n{\"free\":0}")
+		}
+	})
+	p := NewPool(nil)
+	body, err := do(t, p, address, "only")
+	assert.NilError(t, err)
+	assert.Equal(t, body, `{"free":0}`)
+	p.CloseIdle("target")
+	_, err = do(t, p, address, "first")
+	assert.NilError(t, err)
+	_, err = do(t, p, address, "second")
+	assert.ErrorIs(t, err, errUnidentifiedResponse)
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure) && failure.MaybeSent, "%v", err)
+}
+
+// Guards against a request without an id that shares its connection: neither its response nor a
+// second copy of it can be told from those to other requests.
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	dialed := 0
+	p := NewPool(func() { dialed++ })
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		for req := readRequest(t, r); req != nil; req = readRequest(t, r) {
+			write(c, req.Header.Get("Id"), "ok")
+		}
+	})
+	anonymous := get("")
+	for i, r := range []Request{get("one"), anonymous, get("two"), anonymous} {
+		_, err := exchange(t, p, address, r)
+		assert.NilError(t, err, "request %d", i)
+	}
+	assert.Equal(t, dialed, 3)
+}
+
+// Guards against a second copy of a response that is taken for the response to another attempt
+// of the same request, which has the same id.
+func TestRepeatAvoidsConnectionOfItsFirstAttempt(t *testing.T) {
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader, n int) {
+		for i := 0; ; i++ {
+			req := readRequest(t, r)
+			if req == nil {
+				return
+			}
+			if i > 0 {
+				write(c, "one", "late")
+			}
+			write(c, req.Header.Get("Id"), fmt.Sprint("connection ", n))
+		}
+	})
+	p := NewPool(nil)
+	for n := range 2 {
+		body, err := do(t, p, address, "one")
+		assert.NilError(t, err)
+		assert.Equal(t, body, fmt.Sprint("connection ", n))
+	}
+}
+
 // Guards against errors that do not state whether the target may have received the request.
 func TestErrorTellsWhetherSent(t *testing.T) {
 	closing := startTarget(t, func(_ net.Conn, r *bufio.Reader, _ int) { readRequest(t, r) })
@@ -173,7 +271,7 @@
 	p := NewPool(nil)
 	request := get("long")
 	request.Method, request.Body = "POST", []byte(strings.Repeat("GET /smuggled HTTP/1.1\r\n\r\n", 1<<18))
-	e, err := p.Do(t.Context(), "target", address, request, false, func(h http.Header) bool { return true })
+	e, err := p.Do(t.Context(), "target", address, request)
 	assert.NilError(t, err)
 	_, err = io.ReadAll(e.Body)
 	assert.NilError(t, err)
