--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,7 +27,7 @@
 	helpers     []string     // as they are named to the target
 	// resume is what the caller had of the response when the attempt was prepared.
 	resume progress
-	// observed is nil until the request is sent, and if its prompt has no shared parts.
+	// observed is nil until the request is sent, and once its evidence is recorded.
 	observed *observedAttempt
 	// watch is nil for a standby attempt that waits to take over.
 	watch *watchdog
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/topology"
@@ -22,6 +23,9 @@
 	// caller belongs to the call's goroutine.
 	caller *callerWriter
 
+	identityOnce sync.Once
+	identityHash string // see identity
+
 	// The fields below belong to the call's goroutine, or to that of its standby attempt while
 	// there is one.
 
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -19,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/topology"
 	"github.com/oriolefront/oriolefront/internal/upstream"
 )
@@ -46,7 +47,7 @@
 func newNoticesHandler(targets ...*topology.Target) *Handler {
 	config := &topology.Config{Services: []topology.Service{{Name: "plain"}, {Name: "engines", Engine: testEngine}}}
 	h := &Handler{
-		Views: topology.NewHolder(), Protocol: plainProtocol{}, Pool: upstream.NewPool(nil), Registry: inflight.New(), Health: NewHealth(),
+		Views: topology.NewHolder(), Protocol: plainProtocol{}, Pool: upstream.NewPool(nil), Registry: inflight.New(), Health: NewHealth(), Quarantine: quarantine.New(slog.New(slog.DiscardHandler)),
 		Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(metrics.NewSet()), VMCount: func() int { return 1 },
 		KeysUnconfirmed: func() bool { return false },
 	}
--- a/internal/forward/observed.go
+++ b/internal/forward/observed.go
@@ -6,28 +6,25 @@
 	"sync/atomic"
 )
 
-// observedAttempt is an attempt in progress of a call whose prompt has shared parts.
+// observedAttempt is an attempt in progress that may crash its target.
 type observedAttempt struct {
 	set    *observedSet
 	c      *call
 	d      *destination
 	cancel context.CancelCauseFunc
-	// served is true once it was recorded that the parts are served.
+	// served is true once it was recorded that the attempt is served.
 	served atomic.Bool
 }
 
-// observedSet holds the attempts in progress of calls whose prompts have shared parts.
+// observedSet holds the attempts in progress.
 type observedSet struct {
 	mu       sync.Mutex
 	attempts map[*observedAttempt]bool
 }
 
-// observe adds an attempt that is about to be sent, if the prompt has shared parts. It is
-// removed when the attempt ends or its evidence is recorded.
+// observe adds an attempt that is about to be sent. It is removed when the attempt ends or its
+// evidence is recorded.
 func (h *Handler) observe(c *call, a *attempt) {
-	if len(c.meta.SharedParts) == 0 {
-		return
-	}
 	a.observed = &observedAttempt{set: &h.observed, c: c, d: a.d, cancel: a.cancel}
 	h.observed.add(a.observed)
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -30,25 +30,28 @@
 	evidenceTimeout = 100 * time.Millisecond
 )
 
-// errQuarantined ends an attempt before its first event, because a part of its prompt was
-// quarantined meanwhile.
-var errQuarantined = errors.New("a part of the prompt was quarantined")
+// errQuarantined ends an attempt before its first event, because the request or a part of its
+// prompt was quarantined meanwhile.
+var errQuarantined = errors.New("the request or a part of its prompt was quarantined")
 
-// refuseQuarantined returns a refusal if a part of the call's prompt is quarantined.
+// refuseQuarantined returns a refusal if the call, or a part of its prompt, is quarantined.
 func (h *Handler) refuseQuarantined(c *call) *refusal {
-	if len(c.meta.SharedParts) == 0 {
-		return nil
-	}
 	now := time.Now()
-	v, found := h.Quarantine.Check(c.meta.SharedParts, now)
+	v, found := h.Quarantine.Check(c.suspect(), now)
 	if !found {
 		return nil
 	}
+	message := "request not sent: a part of its prompt is quarantined"
+	reason := fmt.Sprintf("part %s of the prompt is quarantined: targets crashed under requests with it", strings.Join(v.Parts, "+"))
+	if v.Request != "" {
+		message = "request not sent: it is quarantined"
+		reason = "the request is quarantined: targets crashed under it"
+	}
 	h.Metrics.CountQuarantined()
-	h.Log.Info("request not sent: a part of its prompt is quarantined", "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(),
+	h.Log.Info(message, "request", c.meta.ID, "route", c.route.Name, "account", c.accountName(), "identity", v.Request,
 		"parts", v.Parts, "crashes", v.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond), "quarantined_for", now.Sub(v.Since).Round(time.Millisecond),
 		"until", v.Until.Sub(now).Round(time.Second), "attempts", c.attemptsSent)
-	return &refusal{http.StatusServiceUnavailable, fmt.Sprintf("part %s of the prompt is quarantined: targets crashed under requests with it", strings.Join(v.Parts, "+")), v.Until.Sub(now)}
+	return &refusal{http.StatusServiceUnavailable, reason, v.Until.Sub(now)}
 }
 
 // recordEvidence records whether an attempt that has ended was served, or its target crashed.
@@ -94,16 +97,16 @@
 	_, writing := a.d.running.FirstEventAt()
 	h.Metrics.CountTargetCrash()
 	h.Log.Warn("target crashed under a request that it had not answered", "request", a.c.meta.ID, "target", a.d.target.ID, "zone", a.d.target.Zone,
-		"parts", a.c.meta.SharedParts, "own_part", a.c.meta.OwnPart, "since_placement", at.Sub(a.d.running.StartedAt()).Round(time.Millisecond), "first_event", writing, "error", err)
-	h.Quarantine.RecordCrash(a.d.target.ID, a.c.meta.ID, a.c.meta.OwnPart, a.c.meta.SharedParts, at)
+		"identity", a.c.identity(), "parts", a.c.meta.SharedParts, "own_part", a.c.meta.OwnPart, "since_placement", at.Sub(a.d.running.StartedAt()).Round(time.Millisecond), "first_event", writing, "error", err)
+	h.Quarantine.RecordCrash(a.d.target.ID, a.c.suspect(), at)
 	time.Sleep(quarantine.SettleTime)
 	h.Quarantine.Decide(time.Now())
 }
 
-// recordServed records that a target serves the parts of an attempt. It does so once.
+// recordServed records that a target serves an attempt. It does so once.
 func (h *Handler) recordServed(a *observedAttempt, began time.Time) {
 	if a.served.CompareAndSwap(false, true) {
-		h.Quarantine.RecordServed(a.c.meta.OwnPart, a.c.meta.SharedParts, began)
+		h.Quarantine.RecordServed(a.c.suspect(), began)
 	}
 }
 
@@ -122,14 +125,14 @@
 	}
 }
 
-// CancelQuarantined ends the attempts with quarantined parts whose responses have not begun.
+// CancelQuarantined ends the attempts that are quarantined and whose responses have not begun.
 func (h *Handler) CancelQuarantined() {
 	now := time.Now()
 	for _, a := range h.observed.all() {
 		if _, writing := a.d.running.FirstEventAt(); writing {
 			continue
 		}
-		if _, found := h.Quarantine.Check(a.c.meta.SharedParts, now); found {
+		if _, found := h.Quarantine.Check(a.c.suspect(), now); found {
 			a.cancel(errQuarantined)
 		}
 	}
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolefront/oriolefront/internal/inflight"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/tcp"
 	"github.com/oriolefront/oriolefront/internal/topology"
 	"github.com/oriolefront/oriolefront/internal/upstream"
@@ -149,7 +150,7 @@
 	views := topology.NewHolder()
 	views.Set(v.view)
 	v.Handler = &Handler{
-		Views: views, Protocol: testProtocol{}, Pool: upstream.NewPool(nil), Registry: inflight.New(), Health: NewHealth(),
+		Views: views, Protocol: testProtocol{}, Pool: upstream.NewPool(nil), Registry: inflight.New(), Health: NewHealth(), Quarantine: quarantine.New(slog.New(slog.DiscardHandler)),
 		RetryBudget: NewRetryBudget(func() RetryLimits { return RetryLimits{Slack: 1000, Window: time.Minute} }, func() int { return 1 }),
 		Log:         slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: NewMetrics(metrics.NewSet()),
 		VMCount: func() int { return 1 }, Isolated: func() bool { return false }, KeysUnconfirmed: func() bool { return false },
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -205,6 +205,11 @@
 	})
 }
 
+// suspect returns a request whose identity is its own part.
+func suspect(id, ownPart string, parts ...string) quarantine.Request {
+	return quarantine.Request{ID: id, Identity: func() string { return ownPart }, OwnPart: ownPart, Parts: parts}
+}
+
 // Guards against a quarantine that stays on one VM.
 func TestQuarantineSpreads(t *testing.T) {
 	a, b := start(t, "a"), start(t, "b")
@@ -213,13 +218,13 @@
 	eventually(t, "both VMs are live", func() bool { return a.mesh.Status().LiveVMs == 2 && b.mesh.Status().LiveVMs == 2 })
 	now := time.Now()
 	for n := range 20 {
-		a.quarantine.RecordServed(strconv.Itoa(n), []string{"f"}, now)
+		a.quarantine.RecordServed(suspect("", strconv.Itoa(n), "f"), now)
 	}
-	a.quarantine.RecordCrash("e1", "r1", "o1", []string{"f", "x"}, now.Add(-time.Second))
-	a.quarantine.RecordCrash("e2", "r2", "o2", []string{"f", "x"}, now.Add(-100*time.Millisecond))
+	a.quarantine.RecordCrash("e1", suspect("r1", "o1", "f", "x"), now.Add(-time.Second))
+	a.quarantine.RecordCrash("e2", suspect("r2", "o2", "f", "x"), now.Add(-100*time.Millisecond))
 	a.quarantine.Decide(now)
 	eventually(t, "b refuses the part", func() bool {
-		_, found := b.quarantine.Check([]string{"x"}, time.Now())
+		_, found := b.quarantine.Check(suspect("r3", "o3", "x"), time.Now())
 		return found
 	})
 }
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -18,20 +18,16 @@
 	independenceGap = 30 * time.Millisecond
 	// newPartPrompts is the number of prompts with crashes that condemns a part of which no
 	// request was ever served, tiedPrompts if another explanation fits as many events. A single
-	// prompt condemns it after newPartCrashes events, if its caller has tried again.
-	newPartPrompts  = 2
-	tiedPrompts     = 3
-	newPartCrashes  = 3
-	newPartRequests = 2
-	// knownPartPrompts, or knownPartCrashes under knownPartRequests, condemn a part of which
-	// requests were served before. servedDelay is the least time since the first of these events:
-	// a served request is known after SurvivalTime and a heartbeat. Meanwhile minServed requests
-	// without the part must have been served: otherwise the targets fail for another reason.
-	knownPartPrompts  = 3
-	knownPartCrashes  = 4
-	knownPartRequests = 3
-	servedDelay       = 2 * time.Second
-	minServed         = 3
+	// prompt never condemns a part: its request is the narrower explanation.
+	newPartPrompts = 2
+	tiedPrompts    = 3
+	// knownPartPrompts condemn a part of which requests were served before. servedDelay is the
+	// least time since the first of these events: a served request is known after SurvivalTime
+	// and a heartbeat. Meanwhile minServed requests without the part must have been served:
+	// otherwise the targets fail for another reason.
+	knownPartPrompts = 3
+	servedDelay      = 2 * time.Second
+	minServed        = 3
 	// SettleTime is the time after a crash until it counts: other VMs, whose requests were there
 	// too, tell of them meanwhile.
 	SettleTime = 25 * time.Millisecond
@@ -47,8 +43,9 @@
 	ID      uint64
 	Target  string
 	Request string
-	// OwnPart is the part of the prompt that belongs to the request or its session. A caller that
-	// tries again sends it again, under a new request id.
+	// Identity identifies the request over its caller's tries, which have new request ids.
+	Identity string
+	// OwnPart is the part of the prompt that belongs to the request or its session.
 	OwnPart string
 	// Parts are the parts that other requests may share.
 	Parts []string
@@ -62,9 +59,9 @@
 	// served holds for shared and own parts when the latest answer with them began that was
 	// written on without a crash. Parts that were never served are missing.
 	served map[string]time.Time
-	// condemned are the quarantined combinations of parts. They explain the crashes of requests
-	// with all of their parts.
-	condemned []combination
+	// condemned are the causes that are quarantined. They explain the crashes of the requests
+	// that have them.
+	condemned []cause
 	// experienced is true if enough requests were served to tell a new part from one whose
 	// requests this VM has not seen yet.
 	experienced bool
@@ -72,21 +69,40 @@
 	recent []time.Time
 }
 
-// combination is one or more parts that are quarantined together: requests with all of them are
-// refused. There are several if they always came together at crashes, so that it is not known
-// which of them is the cause.
-type combination struct {
-	parts []string
+// cause is what crashes are blamed on: one request, or one or more parts of prompts that are
+// quarantined together, so that requests with all of them are refused. There are several parts if
+// they always came together at crashes, so that it is not known which of them is at fault.
+type cause struct {
+	request string // its identity; empty if parts are blamed
+	parts   []string
 	// until is when a quarantine that has lapsed ended: it explains the crashes before, and a
 	// single one after it renews it. It is zero for one in force.
 	until time.Time
 }
 
-// in reports whether a request with the given parts has all parts of the combination.
-func (x combination) in(parts []string) bool {
+// in reports whether a request has the cause.
+func (x cause) in(identity string, parts []string) bool {
+	if x.request != "" {
+		return x.request == identity
+	}
 	return !slices.ContainsFunc(x.parts, func(part string) bool { return !slices.Contains(parts, part) })
 }
 
+func (x cause) equal(other cause) bool {
+	return x.request == other.request && slices.Equal(x.parts, other.parts)
+}
+
+// subjects returns the keys under which it is remembered when the cause was served.
+func (x cause) subjects() []string {
+	if x.request != "" {
+		return []string{requestKey(x.request)}
+	}
+	return x.parts
+}
+
+// requestKey returns the key of a request beside those of parts, which have no colon.
+func requestKey(identity string) string { return "request:" + identity }
+
 // event is the crash of one target, with the requests that it held.
 type event struct {
 	target string
@@ -94,9 +110,11 @@
 	held   []Crash
 }
 
-// Finding is a part that is condemned, with the evidence.
+// Finding is a part or a request that is condemned, with the evidence.
 type Finding struct {
-	Part string
+	// Part is empty if a request is condemned, and Request if a part is.
+	Part    string
+	Request string
 	// With are the parts that came with it at all crashes and may be the cause instead.
 	With []string
 	// Crashes is the number of events. Separate is the number of those that are far enough apart
@@ -114,9 +132,9 @@
 	events []*event
 }
 
-// decide returns the parts that must be quarantined. It explains the crashes one part at a
-// time, the most conspicuous first: a crash that a condemned part explains is no evidence
-// against the others that were there.
+// decide returns the parts and requests that must be quarantined. It explains the crashes one
+// cause at a time, the most conspicuous first: a crash that a condemned cause explains is no
+// evidence against the others that were there.
 func decide(s snapshot) []Finding {
 	var findings []Finding
 	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool { return s.now.Sub(e.at) < SettleTime })
@@ -127,34 +145,55 @@
 			return findings
 		}
 		findings = append(findings, best)
-		condemned = append(condemned, combination{parts: best.parts()})
+		condemned = append(condemned, best.cause())
 	}
 }
 
-// parts returns the combination of parts that the finding condemns, in a fixed order.
-func (f Finding) parts() []string {
+// cause returns what the finding condemns, its parts in a fixed order.
+func (f Finding) cause() cause {
+	if f.Request != "" {
+		return cause{request: f.Request}
+	}
 	parts := append([]string{f.Part}, f.With...)
 	slices.Sort(parts)
-	return parts
+	return cause{parts: parts}
 }
 
-// explained reports whether a condemned combination explains the event, so that it is no
-// evidence against a part. One of several parts is no excuse for each of them.
-func (e *event) explained(condemned []combination, part string) bool {
-	return slices.ContainsFunc(condemned, func(x combination) bool {
-		if !x.until.IsZero() && e.at.After(x.until) || len(x.parts) > 1 && slices.Contains(x.parts, part) {
-			return false
-		}
-		return slices.ContainsFunc(e.held, func(c Crash) bool { return x.in(c.Parts) })
+// targets returns the targets that crashed.
+func (f Finding) targets() []string {
+	var targets []string
+	for _, e := range f.events {
+		targets = append(targets, e.target)
+	}
+	return targets
+}
+
+// explainsWithout reports whether a condemned cause explains the event, so that it is no evidence
+// against a part. A request that has the part is no excuse for it, as the part may be the reason
+// why the request crashes targets; neither is one of several parts for each of them.
+func (x cause) explainsWithout(part string, e *event) bool {
+	if x.over(e) || len(x.parts) > 1 && slices.Contains(x.parts, part) {
+		return false
+	}
+	return slices.ContainsFunc(e.held, func(c Crash) bool {
+		return x.in(c.Identity, c.Parts) && (x.request == "" || !slices.Contains(c.Parts, part))
 	})
 }
 
+// over reports whether the quarantine of the cause had ended at an event.
+func (x cause) over(e *event) bool { return !x.until.IsZero() && e.at.After(x.until) }
+
+// explained reports whether a condemned cause explains the event without a part.
+func (e *event) explained(condemned []cause, part string) bool {
+	return slices.ContainsFunc(condemned, func(x cause) bool { return x.explainsWithout(part, e) })
+}
+
 // groupEvents returns the crashes by target and time, in an order that does not depend
 // on that of the records.
 func groupEvents(crashes []Crash) []*event {
 	sorted := slices.Clone(crashes)
 	slices.SortStableFunc(sorted, func(a, b Crash) int {
-		return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Target, b.Target), strings.Compare(a.OwnPart, b.OwnPart), strings.Compare(a.Request, b.Request))
+		return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Target, b.Target), strings.Compare(a.OwnPart, b.OwnPart), strings.Compare(a.Identity, b.Identity), strings.Compare(a.Request, b.Request))
 	})
 	var events []*event
 	latest := map[string]*event{}
@@ -170,25 +209,33 @@
 	return events
 }
 
-// mostConspicuous returns the part to condemn next, if there is one: first parts that were
-// condemned before, then those that were never served, then the one served longest ago.
-func mostConspicuous(s snapshot, events []*event, condemned []combination) (Finding, bool) {
-	candidates := slices.DeleteFunc(allFindings(s, events, condemned), func(f Finding) bool {
-		return slices.ContainsFunc(condemned, func(x combination) bool { return x.until.IsZero() && slices.Equal(x.parts, f.parts()) })
-	})
-	for _, f := range candidates {
+// mostConspicuous returns the cause to condemn next, if there is one: first those that were
+// condemned before, then parts that were never served, which explain the crashes of several
+// requests, then single requests, and then the part that was served longest ago.
+func mostConspicuous(s snapshot, events []*event, condemned []cause) (Finding, bool) {
+	isNew := func(f Finding) bool {
+		return !slices.ContainsFunc(condemned, func(x cause) bool { return x.until.IsZero() && x.equal(f.cause()) })
+	}
+	parts := slices.DeleteFunc(allFindings(s, events, condemned), func(f Finding) bool { return !isNew(f) })
+	requests := slices.DeleteFunc(requestFindings(s, events, condemned), func(f Finding) bool { return !isNew(f) })
+	for _, f := range slices.Concat(parts, requests) {
 		for _, x := range condemned {
 			if f.renews(x) {
 				return f, true
 			}
 		}
 	}
-	for _, f := range candidates {
+	for _, f := range parts {
 		if !f.ServedBefore && s.experienced && newPartCondemned(s, f) {
 			return f, true
 		}
 	}
-	for _, f := range candidates {
+	for _, f := range requests {
+		if requestCondemned(s, f) {
+			return f, true
+		}
+	}
+	for _, f := range parts {
 		if knownPartCondemned(s, f) {
 			return f, true
 		}
@@ -197,15 +244,18 @@
 }
 
 // renews reports whether a target crashed under a request that a lapsed quarantine concerned.
-func (f Finding) renews(x combination) bool {
-	return !x.until.IsZero() && slices.Contains(x.parts, f.Part) && slices.ContainsFunc(f.events, func(e *event) bool {
-		return e.at.After(x.until) && slices.ContainsFunc(e.held, func(c Crash) bool { return x.in(c.Parts) })
+func (f Finding) renews(x cause) bool {
+	if x.until.IsZero() || x.request != f.Request || x.request == "" && !slices.Contains(x.parts, f.Part) {
+		return false
+	}
+	return slices.ContainsFunc(f.events, func(e *event) bool {
+		return x.over(e) && slices.ContainsFunc(e.held, func(c Crash) bool { return x.in(c.Identity, c.Parts) })
 	})
 }
 
 // allFindings returns the evidence against each part, ordered by when it was served last, with
 // those that were never served first, and then by the number of crashes.
-func allFindings(s snapshot, events []*event, condemned []combination) []Finding {
+func allFindings(s snapshot, events []*event, condemned []cause) []Finding {
 	byPart := map[string]*tally{}
 	for _, e := range events {
 		for _, c := range e.held {
@@ -215,7 +265,7 @@
 					continue
 				}
 				if byPart[part] == nil {
-					byPart[part] = &tally{Finding: Finding{Part: part, ServedBefore: ever}, ownParts: map[string]bool{}, requests: map[string]bool{}}
+					byPart[part] = newTally(Finding{Part: part, ServedBefore: ever})
 				}
 				byPart[part].add(e, c)
 			}
@@ -255,7 +305,7 @@
 	return with
 }
 
-// tally collects the evidence against a part, from the events since its last served request.
+// tally collects the evidence against a part or a request, from the events since it was last served.
 type tally struct {
 	Finding
 	// last is the event added last, lastSeparate the last separate one, and lastPrompt the last
@@ -264,6 +314,10 @@
 	ownParts, requests             map[string]bool
 }
 
+func newTally(f Finding) *tally {
+	return &tally{Finding: f, ownParts: map[string]bool{}, requests: map[string]bool{}}
+}
+
 // add adds a request that was present at an event. Events come in order of time.
 func (t *tally) add(e *event, c Crash) {
 	if t.last == nil {
@@ -297,17 +351,21 @@
 // newPartCondemned reports whether a part that was never served must be quarantined. With the
 // least evidence it must be the only explanation.
 func newPartCondemned(s snapshot, f Finding) bool {
-	enough := f.Prompts >= newPartPrompts || f.Separate >= newPartCrashes && f.Requests >= newPartRequests
-	if !enough || s.now.Sub(f.First) > reportedFor && s.now.Sub(f.Last) < answerTime {
+	if f.Prompts < newPartPrompts || s.awaitsAnswers(f) {
 		return false
 	}
 	return f.Prompts >= tiedPrompts || !otherExplanation(s, f)
 }
 
+// awaitsAnswers reports whether other VMs may still tell that they have served what a finding
+// concerns: they do so on their own only for recent crashes.
+func (s snapshot) awaitsAnswers(f Finding) bool {
+	return s.now.Sub(f.First) > reportedFor && s.now.Sub(f.Last) < answerTime
+}
+
 // knownPartCondemned reports whether a part that may have been sound earlier must be quarantined.
 func knownPartCondemned(s snapshot, f Finding) bool {
-	enough := f.Prompts >= knownPartPrompts || f.Separate >= knownPartCrashes && f.Requests >= knownPartRequests
-	if !enough || s.now.Sub(f.First) < servedDelay {
+	if f.Prompts < knownPartPrompts || s.now.Sub(f.First) < servedDelay {
 		return false
 	}
 	served := 0
--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -15,22 +15,23 @@
 // at returns the time a number of milliseconds after the start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// crash returns the record of a request that was present at a crash. Its own part and its id
-// are its name; a caller's second try is named with a trailing quote.
+// crash returns the record of a request that was present at a crash. Its own part, its identity
+// and its id are its name; a caller's second try is named with a trailing quote.
 func crash(ms int, target, request string, parts ...string) Crash {
 	ownPart := request
 	if request[len(request)-1] == '\'' {
 		ownPart = request[:len(request)-1]
 	}
-	return Crash{Target: target, Request: request, OwnPart: "own-" + ownPart, Parts: parts, At: at(ms)}
+	return Crash{Target: target, Request: request, Identity: ownPart, OwnPart: "own-" + ownPart, Parts: parts, At: at(ms)}
 }
 
-func condemnedParts(findings []Finding) []string {
-	var parts []string
+// condemned returns the names of what findings condemn.
+func condemned(findings []Finding) []string {
+	var causes []string
 	for _, f := range findings {
-		parts = append(parts, strings.Join(f.parts(), "+"))
+		causes = append(causes, strings.Join(f.cause().subjects(), "+"))
 	}
-	return parts
+	return causes
 }
 
 // Guards against a part that goes on crashing targets, and against sound parts that are
@@ -60,10 +61,11 @@
 		},
 		"one request at two crashes": {now: 300,
 			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r1", "f", "x")},
+			want:    []string{"request:r1"},
 		},
 		"one request, its repeat and its caller's second try": {now: 900,
 			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r1", "f", "x"), crash(900, "c", "r1'", "f", "x")},
-			want:    []string{"x"},
+			want:    []string{"request:r1"},
 		},
 		"two prompts at the crash of one target": {
 			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(5, "a", "r2", "f", "x")},
@@ -111,8 +113,69 @@
 		},
 		"part that was sound before, second tries": {now: 2500, served: served(-5000, "x"),
 			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r1", "x"), crash(600, "c", "r1'", "x"), crash(2500, "d", "r2", "x")},
+			want:    []string{"request:r1"},
+		},
+		"one request without a prompt": {now: 300,
+			crashes: []Crash{crash(0, "a", "r1"), crash(300, "b", "r1'")},
+			want:    []string{"request:r1"},
+		},
+		"one request, with others that are served meanwhile": {now: 300, served: served(100, "request:s1", "request:s2"),
+			crashes: []Crash{
+				crash(0, "a", "r1", "f"), crash(0, "a", "s1", "f"), crash(0, "a", "s2", "f"),
+				crash(300, "b", "r1", "f"), crash(300, "b", "s1", "f")},
+			want: []string{"request:r1"},
+		},
+		"one request, with others at each crash": {now: 300,
+			crashes: []Crash{crash(0, "a", "r1", "f"), crash(0, "a", "s1", "f"), crash(300, "b", "r1", "f"), crash(300, "b", "s2", "f")},
+			want:    []string{"request:r1"},
+		},
+		"a request that is sent again beside the culprit three times": {now: 600,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f"), crash(0, "a", "s1", "f"),
+				crash(300, "b", "r1", "f"), crash(300, "b", "s1", "f"),
+				crash(600, "c", "r1'", "f")},
+			want: []string{"request:r1"},
+		},
+		"a bystander of two culprits, of which one is known": {now: 900,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f"), crash(0, "a", "s1", "f"), crash(300, "b", "r1", "f"),
+				crash(600, "c", "r2", "f"), crash(600, "c", "s1", "f")},
+			want: []string{"request:r1"},
+		},
+		"a request that was served between its crashes": {now: 300, served: served(100, "request:r1"),
+			crashes: []Crash{crash(0, "a", "r1", "f"), crash(300, "b", "r1'", "f")},
+		},
+		"a request whose targets end in one outage": {now: 20,
+			crashes: []Crash{crash(0, "a", "r1", "f"), crash(20, "b", "r1'", "f")},
+		},
+		"a sound part at one request's crashes": {now: 9000, served: served(-60000, "x"),
+			crashes: []Crash{
+				crash(0, "a", "r1", "x"), crash(400, "b", "r1", "x"), crash(800, "c", "r1'", "x"), crash(1200, "d", "r1'", "x"),
+				crash(2500, "e", "r1'", "x"), crash(9000, "g", "r1'", "x")},
+			want: []string{"request:r1"},
+		},
+		"a part of two requests that were tried again": {now: 900,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r1", "f", "x"), crash(600, "c", "r2", "f", "x"), crash(900, "d", "r2", "f", "x")},
+			want:    []string{"x"},
+		},
+		"a part whose first request was condemned before": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "f", "x"), crash(300, "b", "r1", "f", "x"), crash(600, "c", "r2", "f", "x")},
+			change:  func(s *snapshot) { s.condemned = []cause{{request: "r1"}} },
 			want:    []string{"x"},
 		},
+		"a part with a bystander at the crash of a condemned request": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "f"), crash(0, "a", "s1", "f", "y"), crash(300, "b", "r1", "f"), crash(600, "c", "s2", "f", "y")},
+			change:  func(s *snapshot) { s.condemned = []cause{{request: "r1"}} },
+		},
+		"a request at the crashes of a quarantined part": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r1", "x")},
+			change:  func(s *snapshot) { s.condemned = []cause{{parts: []string{"x"}}} },
+		},
+		"a request after the end of its quarantine": {now: 600,
+			crashes: []Crash{crash(0, "a", "r1", "f"), crash(300, "b", "r1", "f"), crash(600, "c", "r1'", "f")},
+			change:  func(s *snapshot) { s.condemned = []cause{{request: "r1", until: at(500)}} },
+			want:    []string{"request:r1"},
+		},
 		"part that was sound before, while nothing is served": {now: 2500, served: served(-5000, "x"),
 			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x"), crash(600, "c", "r3", "x"), crash(2500, "d", "r4", "x")},
 			change:  func(s *snapshot) { s.recent = []time.Time{at(-300), at(-200), at(-100)} },
@@ -133,15 +196,15 @@
 				crash(0, "a", "r1", "x"), crash(0, "a", "s1", "y"),
 				crash(300, "b", "r2", "x"), crash(300, "b", "s2", "y"),
 				crash(600, "c", "r3", "x"), crash(600, "c", "s3", "y")},
-			change: func(s *snapshot) { s.condemned = []combination{{parts: []string{"x"}}} },
+			change: func(s *snapshot) { s.condemned = []cause{{parts: []string{"x"}}} },
 		},
 		"crashes before the end of a quarantine": {now: 600,
 			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x")},
-			change:  func(s *snapshot) { s.condemned = []combination{{parts: []string{"x"}, until: at(500)}} },
+			change:  func(s *snapshot) { s.condemned = []cause{{parts: []string{"x"}, until: at(500)}} },
 		},
 		"one crash after the end of a quarantine": {now: 600,
 			crashes: []Crash{crash(0, "a", "r1", "x"), crash(300, "b", "r2", "x"), crash(600, "c", "r3", "x")},
-			change:  func(s *snapshot) { s.condemned = []combination{{parts: []string{"x"}, until: at(500)}} },
+			change:  func(s *snapshot) { s.condemned = []cause{{parts: []string{"x"}, until: at(500)}} },
 			want:    []string{"x"},
 		},
 		"old evidence, before other VMs can tell what they served": {now: 60100,
@@ -160,7 +223,7 @@
 			if c.change != nil {
 				c.change(&s)
 			}
-			assert.DeepEqual(t, condemnedParts(decide(s)), c.want)
+			assert.DeepEqual(t, condemned(decide(s)), c.want)
 		})
 	}
 }
@@ -182,6 +245,10 @@
 		}
 		findings := decide(s)
 		for _, f := range findings {
+			if f.Request != "" {
+				checkRequestFinding(r, s, f)
+				continue
+			}
 			present, requests := map[string]bool{}, map[string]bool{}
 			for _, c := range s.crashes {
 				for _, part := range c.Parts {
@@ -199,6 +266,39 @@
 		}
 		shuffled := s
 		shuffled.crashes = rapid.Permutation(s.crashes).Draw(r, "order")
-		assert.DeepEqual(r, len(decide(shuffled)), len(findings))
+		assert.DeepEqual(r, condemned(decide(shuffled)), condemned(findings))
+	})
+}
+
+// checkRequestFinding checks that a condemned request was at two separate crashes at least, since
+// it was last served, and that no part alone is condemned with it.
+func checkRequestFinding(r *rapid.T, s snapshot, f Finding) {
+	present := map[string]bool{}
+	for _, c := range s.crashes {
+		if c.Identity == f.Request && !s.served[requestKey(c.Identity)].After(c.At) {
+			present[c.Target] = true
+		}
+	}
+	assert.Assert(r, len(present) >= requestCrashes && f.Separate >= requestCrashes && f.Crashes <= len(present), "%+v", f)
+	assert.Assert(r, f.Part == "" && len(f.With) == 0, "%+v", f)
+}
+
+// Guards against a part that is condemned for the crashes of a single request, whatever else was
+// there.
+func TestOneRequestNeverCondemnsPart(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := snapshot{now: at(60_000), served: map[string]time.Time{}, recent: []time.Time{at(59_500), at(59_600), at(59_700)}, experienced: true}
+		for n := range rapid.IntRange(1, 8).Draw(r, "crashes") {
+			s.crashes = append(s.crashes, crash(n*400, fmt.Sprint(n), "r1"+strings.Repeat("'", n%2), "a", "b"))
+			for i := range rapid.IntRange(0, 3).Draw(r, "bystanders") {
+				bystander := fmt.Sprintf("s%d-%d", n, i)
+				part := rapid.SampledFrom([]string{"c", "d", "e"}).Draw(r, "part")
+				s.crashes = append(s.crashes, crash(n*400, fmt.Sprint(n), bystander, part))
+				s.served[part], s.served[requestKey(bystander)] = at(20_000), at(20_000)
+			}
+		}
+		for _, f := range decide(s) {
+			assert.Equal(r, f.Request, "r1")
+		}
 	})
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,8 @@
-// Package quarantine finds parts of prompts that crash targets. Each VM records under which
-// requests targets crashed and which parts were served without a crash, and tells the others.
-// A part that explains several crashes is quarantined: requests with it are refused before they
-// are sent. Everything is kept in memory, is bounded, and may be lost.
+// Package quarantine finds requests and parts of prompts that crash targets. Each VM records
+// under which requests targets crashed and what was served without a crash, and tells the others.
+// What explains several crashes is quarantined, the narrowest explanation first: the request, or
+// all requests with the part, are refused before they are sent. Everything is kept in memory, is
+// bounded, and may be lost.
 package quarantine
 
 import (
@@ -42,16 +43,18 @@
 	maxQuarantines      = 64
 )
 
-// Verdict is the quarantine of a part, or of several that always came together at crashes:
-// requests with all of them are refused.
+// Verdict is the quarantine of a request, of a part, or of several parts that always came
+// together at crashes: requests with all of them are refused.
 type Verdict struct {
-	Parts []string
-	// Crashes is the number of crashes that are explained by the parts.
+	// Request is the identity of the request; Parts is empty then.
+	Request string
+	Parts   []string
+	// Crashes is the number of crashes that are explained by the request or the parts.
 	Crashes    int
 	Since      time.Time
 	FirstCrash time.Time
 	LastCrash  time.Time
-	// Until is when the quarantine lapses unless another target crashes under the part.
+	// Until is when the quarantine lapses unless another target crashes under the cause.
 	Until time.Time
 
 	servedBefore bool
@@ -67,12 +70,14 @@
 	cleared       // a request with the part was served
 )
 
-// key identifies the quarantine by its parts.
-func (v *Verdict) key() string { return strings.Join(v.Parts, "+") }
+func (v *Verdict) cause() cause { return cause{request: v.Request, parts: v.Parts} }
 
-// forbids reports whether the quarantine is in force and concerns a request with these parts.
-func (v *Verdict) forbids(parts []string) bool {
-	return v.state == active && combination{parts: v.Parts}.in(parts)
+// key identifies the quarantine by its cause.
+func (v *Verdict) key() string { return strings.Join(v.cause().subjects(), "+") }
+
+// forbids reports whether the quarantine is in force and concerns a request.
+func (v *Verdict) forbids(identity string, parts []string) bool {
+	return v.state == active && v.cause().in(identity, parts)
 }
 
 func (v *Verdict) term() time.Duration {
@@ -82,11 +87,11 @@
 	return newPartTerm
 }
 
-// Detector decides which parts are quarantined. It may be used concurrently.
+// Detector decides which requests and parts are quarantined. It may be used concurrently.
 type Detector struct {
 	log *slog.Logger
 	// OnEvidence is called when there is evidence that the other VMs should hear of soon.
-	// OnQuarantine is called after parts were quarantined. Both may be nil.
+	// OnQuarantine is called after something was quarantined. Both may be nil.
 	OnEvidence   func()
 	OnQuarantine func()
 
@@ -96,10 +101,11 @@
 	known map[uint64]bool
 	// undecided is true if there is evidence on which no decision was made after SettleTime.
 	undecided bool
-	// suspects holds the shared and own parts of the crashes, with the time of the latest one.
+	// suspects holds the subjects of the crashes (shared and own parts, and the keys of
+	// requests), with the time of the latest one.
 	suspects map[string]time.Time
-	// servedHere and servedElsewhere hold when the latest answer with a shared or own part began.
-	// The latter has entries of suspects only.
+	// servedHere and servedElsewhere hold when the latest answer to a subject began. Only the
+	// former has entries that are no suspects, of shared parts.
 	servedHere      map[string]time.Time
 	servedElsewhere map[string]time.Time
 	servedCount     int
@@ -113,18 +119,33 @@
 	return &Detector{log: log, known: map[uint64]bool{}, suspects: map[string]time.Time{}, servedHere: map[string]time.Time{}, servedElsewhere: map[string]time.Time{}, verdicts: map[string]*Verdict{}}
 }
 
-// Check returns the quarantine that forbids to send a request with these parts, if any.
-func (d *Detector) Check(parts []string, now time.Time) (Verdict, bool) {
+// Check returns the quarantine that forbids to send a request, if any.
+func (d *Detector) Check(r Request, now time.Time) (Verdict, bool) {
+	identity := ""
+	if d.anyRequestQuarantined() {
+		identity = r.Identity()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, v := range d.verdicts {
-		if v.forbids(parts) && now.Before(v.Until) {
+		if v.forbids(identity, r.Parts) && now.Before(v.Until) {
 			return *v, true
 		}
 	}
 	return Verdict{}, false
 }
 
+func (d *Detector) anyRequestQuarantined() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, v := range d.verdicts {
+		if v.Request != "" && v.state == active {
+			return true
+		}
+	}
+	return false
+}
+
 // Active returns the number of quarantines in force.
 func (d *Detector) Active() int {
 	d.mu.Lock()
@@ -140,15 +161,16 @@
 
 // RecordCrash records that a target crashed while this VM had a request there that was not
 // answered yet. Decide must be called SettleTime later.
-func (d *Detector) RecordCrash(target, request, ownPart string, parts []string, now time.Time) {
+func (d *Detector) RecordCrash(target string, r Request, now time.Time) {
+	identity := r.Identity()
 	d.mu.Lock()
-	c := Crash{ID: rand.Uint64(), Target: target, Request: request, OwnPart: ownPart, Parts: d.mostSuspicious(parts), At: now}
+	c := Crash{ID: rand.Uint64(), Target: target, Request: r.ID, Identity: identity, OwnPart: r.OwnPart, Parts: d.mostSuspicious(r.Parts), At: now}
 	added := d.addCrash(c, true)
 	d.mu.Unlock()
 	d.announce(false, added)
 }
 
-// Decide quarantines the parts that the evidence condemns, if there is new evidence. It is
+// Decide quarantines what the evidence condemns, if there is new evidence. It is
 // called SettleTime after a crash.
 func (d *Detector) Decide(now time.Time) {
 	d.mu.Lock()
@@ -194,7 +216,7 @@
 	d.undecided = true
 	d.suspect(c)
 	for _, v := range d.verdicts {
-		if v.forbids(c.Parts) && c.At.After(v.LastCrash) {
+		if v.forbids(c.Identity, c.Parts) && c.At.After(v.LastCrash) {
 			v.LastCrash, v.Until = c.At, c.At.Add(v.term())
 			if ofTarget == 0 {
 				v.Crashes++
@@ -204,53 +226,81 @@
 	return true
 }
 
-// suspect adds the parts of a crash to the suspects. d.mu must be held.
+// subjects returns the keys under which it is remembered when what the crash may be blamed on
+// was served, with the own part.
+func (c Crash) subjects() []string {
+	return append(slices.Clone(c.Parts), c.OwnPart, requestKey(c.Identity))
+}
+
+// suspect adds the subjects of a crash to the suspects. d.mu must be held.
 func (d *Detector) suspect(c Crash) {
-	for _, part := range append(slices.Clone(c.Parts), c.OwnPart) {
-		d.suspects[part] = latest(d.suspects[part], c.At)
+	for _, subject := range c.subjects() {
+		d.suspects[subject] = latest(d.suspects[subject], c.At)
 	}
 }
 
-// RecordServed records that requests with these parts are served: a target began its answer
-// at the given time and completed it, or went on writing for SurvivalTime.
-func (d *Detector) RecordServed(ownPart string, parts []string, began time.Time) {
+// RecordServed records that a request is served: a target began its answer at the given time
+// and completed it, or went on writing for SurvivalTime.
+func (d *Detector) RecordServed(r Request, began time.Time) {
+	identity := ""
+	if d.anySuspects() {
+		identity = r.Identity()
+	}
 	d.mu.Lock()
-	d.servedCount++
-	d.recent = append(d.recent[max(len(d.recent)-minServed+1, 0):], began)
-	cleared := false
-	for _, part := range parts {
-		cleared = d.clear(part, began) || cleared
+	news := d.recordServed(r, identity, began)
+	d.mu.Unlock()
+	if news && d.OnEvidence != nil {
+		d.OnEvidence()
+	}
+}
+
+func (d *Detector) anySuspects() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.suspects) > 0
+}
+
+// recordServed implements RecordServed. It reports whether this is news for the other VMs.
+// d.mu must be held.
+func (d *Detector) recordServed(r Request, identity string, began time.Time) bool {
+	if len(r.Parts) > 0 {
+		d.servedCount++
+		d.recent = append(d.recent[max(len(d.recent)-minServed+1, 0):], began)
+	}
+	news := false
+	for _, part := range r.Parts {
+		news = d.clear(part, began) || news
 		d.servedHere[part] = latest(d.servedHere[part], began)
 	}
-	if _, suspected := d.suspects[ownPart]; suspected {
-		d.servedHere[ownPart] = latest(d.servedHere[ownPart], began)
+	for _, subject := range []string{r.OwnPart, requestKey(identity)} {
+		if _, suspected := d.suspects[subject]; suspected {
+			news = d.clear(subject, began) || news
+			d.servedHere[subject] = latest(d.servedHere[subject], began)
+		}
 	}
 	d.pruneServed(began)
-	d.mu.Unlock()
-	if cleared && d.OnEvidence != nil {
-		d.OnEvidence()
-	}
+	return news
 }
 
-// clear ends the quarantine of a part that was served after its last crash. It reports whether
-// this is news for the other VMs: the part was a suspect until now. d.mu must be held.
-func (d *Detector) clear(part string, served time.Time) bool {
-	crash, suspected := d.suspects[part]
-	news := suspected && served.After(crash) && !d.lastServed(part).After(crash)
+// clear ends the quarantine of a part or a request that was served after its first crash. It
+// reports whether this is news for the other VMs: it was a suspect until now. d.mu must be held.
+func (d *Detector) clear(subject string, served time.Time) bool {
+	crash, suspected := d.suspects[subject]
+	news := suspected && served.After(crash) && !d.lastServed(subject).After(crash)
 	for _, v := range slices.Collect(maps.Values(d.verdicts)) {
-		if v.state != cleared && slices.Contains(v.Parts, part) && served.Sub(v.FirstCrash) > clockMargin {
-			d.acquit(v, part, served)
+		if v.state != cleared && slices.Contains(v.cause().subjects(), subject) && served.Sub(v.FirstCrash) > clockMargin {
+			d.acquit(v, subject, served)
 			news = true
 		}
 	}
 	return news
 }
 
-// acquit removes a part from a quarantine: a request with it was served after the first of the
-// crashes. d.mu must be held.
+// acquit ends a quarantine, or removes one of several parts from it: a request with the part was
+// served after the first of the crashes. d.mu must be held.
 func (d *Detector) acquit(v *Verdict, part string, served time.Time) {
-	if len(v.Parts) == 1 {
-		d.logEnd(v, "a request with it was served", served)
+	if len(v.Parts) <= 1 {
+		d.logEnd(v, "it was served", served)
 		v.state = cleared
 		return
 	}
@@ -264,13 +314,18 @@
 }
 
 func (d *Detector) logEnd(v *Verdict, reason string, now time.Time) {
-	d.log.Warn("quarantine of a prompt part ended", "parts", v.Parts, "reason", reason, "crashes", v.Crashes,
+	message := "quarantine of a prompt part ended"
+	if v.Request != "" {
+		message = "quarantine of a request ended"
+	}
+	d.log.Warn(message, "identity", v.Request, "parts", v.Parts, "reason", reason, "crashes", v.Crashes,
 		"last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond))
 }
 
-// lastServed returns when the latest answer with a part began at any VM. d.mu must be held.
-func (d *Detector) lastServed(part string) time.Time {
-	return latest(d.servedHere[part], d.servedElsewhere[part])
+// lastServed returns when the latest answer with a part, or to a request, began at any VM. d.mu
+// must be held.
+func (d *Detector) lastServed(subject string) time.Time {
+	return latest(d.servedHere[subject], d.servedElsewhere[subject])
 }
 
 func latest(a, b time.Time) time.Time {
@@ -345,13 +400,13 @@
 	}
 }
 
-// decide quarantines the parts that the evidence condemns. It reports whether there are any.
-// d.mu must be held.
+// decide quarantines what the evidence condemns. It reports whether there is anything. d.mu must
+// be held.
 func (d *Detector) decide(now time.Time) bool {
 	d.undecided = slices.ContainsFunc(d.crashes, func(c Crash) bool { return now.Sub(c.At) < SettleTime })
 	findings := decide(d.snapshot(now))
 	for _, f := range findings {
-		condemned := &Verdict{Parts: f.parts(), servedBefore: f.ServedBefore}
+		condemned := &Verdict{Request: f.Request, Parts: f.cause().parts, servedBefore: f.ServedBefore}
 		v := d.verdicts[condemned.key()]
 		if v == nil || v.state == cleared {
 			v = condemned
@@ -361,28 +416,50 @@
 		v.FirstCrash = f.First
 		v.state, v.Since, v.LastCrash, v.Until = active, now, f.Last, f.Last.Add(v.term())
 		v.Crashes += f.Crashes
-		d.log.Warn("prompt part quarantined", "parts", v.Parts, "crashes", f.Crashes, "separate", f.Separate, "prompts", f.Prompts, "requests", f.Requests,
-			"first_crash_age", now.Sub(f.First).Round(time.Millisecond), "last_crash_age", now.Sub(f.Last).Round(time.Millisecond),
-			"served_before", f.ServedBefore, "for", v.Until.Sub(now).Round(time.Second), "heard_from_peer", false)
+		d.logQuarantine(v, now, "crashes", f.Crashes, "separate", f.Separate, "prompts", f.Prompts, "requests", f.Requests, "targets", f.targets(),
+			"first_crash_age", now.Sub(f.First).Round(time.Millisecond), "heard_from_peer", false)
 	}
 	return len(findings) > 0
 }
 
+// logQuarantine logs that a quarantine begins, with the evidence.
+func (d *Detector) logQuarantine(v *Verdict, now time.Time, evidence ...any) {
+	message, attributes := "prompt part quarantined", []any{"parts", v.Parts, "served_before", v.servedBefore}
+	if v.Request != "" {
+		message, attributes = "request quarantined", []any{"identity", v.Request, "request_ids", d.requestIDs(v.Request)}
+	}
+	attributes = append(attributes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond), "for", v.Until.Sub(now).Round(time.Second))
+	d.log.Warn(message, append(attributes, evidence...)...)
+}
+
+// requestIDs returns the ids of the tries of a request at crashes. d.mu must be held.
+func (d *Detector) requestIDs(identity string) []string {
+	var ids []string
+	for _, c := range d.crashes {
+		if c.Identity == identity && !slices.Contains(ids, c.Request) {
+			ids = append(ids, c.Request)
+		}
+	}
+	return ids
+}
+
 func (d *Detector) snapshot(now time.Time) snapshot {
 	s := snapshot{now: now, crashes: d.crashes, served: map[string]time.Time{}, experienced: d.servedCount >= minExperience, recent: d.recent}
 	for _, c := range d.crashes {
-		for _, part := range append(slices.Clone(c.Parts), c.OwnPart) {
-			if at := d.lastServed(part); !at.IsZero() {
-				s.served[part] = at
+		for _, subject := range c.subjects() {
+			if at := d.lastServed(subject); !at.IsZero() {
+				s.served[subject] = at
 			}
 		}
 	}
 	for _, v := range d.verdicts {
+		x := v.cause()
 		switch v.state {
 		case active:
-			s.condemned = append(s.condemned, combination{parts: v.Parts})
+			s.condemned = append(s.condemned, x)
 		case lapsed:
-			s.condemned = append(s.condemned, combination{parts: v.Parts, until: v.Until})
+			x.until = v.Until
+			s.condemned = append(s.condemned, x)
 		}
 	}
 	return s
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -14,20 +14,25 @@
 func newExperienced() *Detector {
 	d := New(slog.New(slog.DiscardHandler))
 	for n := range minExperience {
-		d.RecordServed(fmt.Sprint(n), []string{"f"}, at(-1000))
+		d.RecordServed(request("", fmt.Sprint(n), []string{"f"}), at(-1000))
 	}
 	return d
 }
 
+// request returns a request whose identity is its own part.
+func request(id, ownPart string, parts []string) Request {
+	return Request{ID: id, Identity: func() string { return ownPart }, OwnPart: ownPart, Parts: parts}
+}
+
 func quarantined(d *Detector, part string, ms int) bool {
-	_, found := d.Check([]string{"f", part}, at(ms))
+	_, found := d.Check(request("", "any", []string{"f", part}), at(ms))
 	return found
 }
 
 // condemn makes a part crash two targets.
 func condemn(d *Detector, part string) {
-	d.RecordCrash("t1", "r1", "o1", []string{"f", part}, at(0))
-	d.RecordCrash("t2", "r2", "o2", []string{"f", part}, at(500))
+	d.RecordCrash("t1", request("r1", "o1", []string{"f", part}), at(0))
+	d.RecordCrash("t2", request("r2", "o2", []string{"f", part}), at(500))
 	d.Decide(at(550))
 }
 
@@ -57,7 +62,7 @@
 	d.Tick(at(end))
 	assert.Assert(t, !quarantined(d, "x", end))
 	assert.Equal(t, d.Active(), 0)
-	d.RecordCrash("t3", "r3", "o3", []string{"f", "x"}, at(end+1000))
+	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), at(end+1000))
 	d.Decide(at(end + 1030))
 	assert.Assert(t, quarantined(d, "x", end+1031))
 }
@@ -67,7 +72,7 @@
 func TestLaterCrashExtendsQuarantine(t *testing.T) {
 	d := newExperienced()
 	condemn(d, "x")
-	d.RecordCrash("t3", "r3", "o3", []string{"f", "x"}, at(10_000))
+	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), at(10_000))
 	d.Tick(at(500 + int(newPartTerm.Milliseconds())))
 	assert.Assert(t, quarantined(d, "x", 9_000+int(newPartTerm.Milliseconds())))
 }
@@ -76,9 +81,9 @@
 func TestServedRequestEndsQuarantine(t *testing.T) {
 	d := newExperienced()
 	condemn(d, "x")
-	d.RecordServed("o9", []string{"x"}, at(-1))
+	d.RecordServed(request("", "o9", []string{"x"}), at(-1))
 	assert.Assert(t, quarantined(d, "x", 1500))
-	d.RecordServed("o9", []string{"x"}, at(400)) // began after the first crash
+	d.RecordServed(request("", "o9", []string{"x"}), at(400)) // began after the first crash
 	assert.Assert(t, !quarantined(d, "x", 1501))
 	d.Tick(at(1600))
 	assert.Assert(t, !quarantined(d, "x", 1600))
@@ -89,25 +94,25 @@
 func TestPartsThatCameTogether(t *testing.T) {
 	pair := func() *Detector {
 		d := newExperienced()
-		d.RecordCrash("t1", "r1", "o1", []string{"f", "a", "x"}, at(0))
-		d.RecordCrash("t2", "r2", "o2", []string{"f", "a", "x"}, at(500))
+		d.RecordCrash("t1", request("r1", "o1", []string{"f", "a", "x"}), at(0))
+		d.RecordCrash("t2", request("r2", "o2", []string{"f", "a", "x"}), at(500))
 		d.Decide(at(550))
 		return d
 	}
 	forbidden := func(d *Detector, ms int, parts ...string) bool {
-		_, found := d.Check(parts, at(ms))
+		_, found := d.Check(request("", "any", parts), at(ms))
 		return found
 	}
 	d := pair()
 	assert.Assert(t, forbidden(d, 600, "f", "a", "x") && !forbidden(d, 600, "f", "a") && !forbidden(d, 600, "f", "x"))
-	d.RecordServed("o8", []string{"f", "a"}, at(400))
+	d.RecordServed(request("", "o8", []string{"f", "a"}), at(400))
 	assert.Assert(t, forbidden(d, 1500, "f", "x") && !forbidden(d, 1500, "f", "a"))
 	other := newExperienced()
 	exchange(t, d, other, 1510)
 	assert.Assert(t, forbidden(other, 1520, "f", "x") && !forbidden(other, 1520, "f", "a"))
 
 	d = pair()
-	d.RecordCrash("t3", "r3", "o3", []string{"f", "x"}, at(2000))
+	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), at(2000))
 	d.Decide(at(2030))
 	assert.Assert(t, forbidden(d, 2040, "f", "x") && !forbidden(d, 2040, "f", "a"))
 }
@@ -115,9 +120,9 @@
 // Guards against VMs that each need the whole evidence: each of them sees one crash.
 func TestEvidenceOfSeveralVMs(t *testing.T) {
 	a, b := newExperienced(), newExperienced()
-	a.RecordCrash("t1", "r1", "o1", []string{"f", "x"}, at(0))
+	a.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), at(0))
 	exchange(t, a, b, 10)
-	b.RecordCrash("t2", "r2", "o2", []string{"f", "x"}, at(500))
+	b.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), at(500))
 	b.Decide(at(530))
 	assert.Assert(t, quarantined(b, "x", 531))
 	exchange(t, b, a, 540)
@@ -133,12 +138,12 @@
 	a, b := newExperienced(), newExperienced()
 	asked := false
 	b.OnEvidence = func() { asked = true }
-	b.RecordServed("o7", []string{"x"}, at(-5000))
-	a.RecordCrash("t1", "r1", "o1", []string{"f", "x"}, at(0))
+	b.RecordServed(request("", "o7", []string{"x"}), at(-5000))
+	a.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), at(0))
 	exchange(t, a, b, 10)
 	assert.Assert(t, asked, "b does not tell at once that it has served the part")
 	exchange(t, b, a, 20)
-	a.RecordCrash("t2", "r2", "o2", []string{"f", "x"}, at(500))
+	a.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), at(500))
 	a.Decide(at(530))
 	assert.Assert(t, !quarantined(a, "x", 531))
 
@@ -147,7 +152,7 @@
 	condemn(a, "x")
 	exchange(t, a, b, 510)
 	assert.Assert(t, quarantined(b, "x", 511))
-	b.RecordServed("o8", []string{"x"}, at(800))
+	b.RecordServed(request("", "o8", []string{"x"}), at(800))
 	exchange(t, b, a, 900)
 	exchange(t, a, b, 910)
 	assert.Assert(t, !quarantined(a, "x", 911) && !quarantined(b, "x", 911))
@@ -157,14 +162,14 @@
 // target tells of it a moment later.
 func TestCulpritAtAnotherVM(t *testing.T) {
 	a, b := newExperienced(), newExperienced()
-	a.RecordCrash("t1", "s1", "q1", []string{"f", "y"}, at(0))
-	b.RecordCrash("t1", "r1", "o1", []string{"f", "x"}, at(1))
+	a.RecordCrash("t1", request("s1", "q1", []string{"f", "y"}), at(0))
+	b.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), at(1))
 	exchange(t, b, a, 5)
 	exchange(t, a, b, 5)
-	a.RecordCrash("t2", "s2", "q2", []string{"f", "y"}, at(500))
+	a.RecordCrash("t2", request("s2", "q2", []string{"f", "y"}), at(500))
 	a.Decide(at(500))
 	assert.Assert(t, !quarantined(a, "y", 501))
-	b.RecordCrash("t2", "r2", "o2", []string{"f", "x"}, at(501))
+	b.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), at(501))
 	exchange(t, b, a, 515)
 	a.Decide(at(530))
 	assert.Assert(t, !quarantined(a, "y", 531))
@@ -196,10 +201,10 @@
 		many = append(many, fmt.Sprintf("%064d", n))
 	}
 	for n := range 3000 {
-		d.RecordCrash(fmt.Sprint("t", n/100), fmt.Sprint("r", n), fmt.Sprint("o", n), many, at(n))
+		d.RecordCrash(fmt.Sprint("t", n/100), request(fmt.Sprint("r", n), fmt.Sprint("o", n), many), at(n))
 	}
 	for n := range 3 * maxServed {
-		d.RecordServed(fmt.Sprint("o", n), []string{fmt.Sprint("p", n)}, at(n))
+		d.RecordServed(request("", fmt.Sprint("o", n), []string{fmt.Sprint("p", n)}), at(n))
 	}
 	d.Tick(at(3000))
 	assert.Assert(t, len(d.crashes) <= maxCrashes && len(d.known) <= maxCrashes)
@@ -212,7 +217,7 @@
 	r := &Report{}
 	for n := range 10_000 {
 		r.Crashes = append(r.Crashes, CrashReport{ID: uint64(n), Target: fmt.Sprint(n), Parts: many, AgeMs: -5})
-		r.Served = append(r.Served, ServedReport{Part: fmt.Sprint("q", n), AgeMs: -5})
+		r.Served = append(r.Served, ServedReport{Subject: fmt.Sprint("q", n), AgeMs: -5})
 		r.Verdicts = append(r.Verdicts, VerdictReport{Parts: []string{fmt.Sprint("v", n)}, LastCrashAgeMs: int64(n)})
 	}
 	for range 20 {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -27,22 +27,25 @@
 
 // CrashReport is the wire format of a Crash.
 type CrashReport struct {
-	ID      uint64   `msgpack:"i"`
-	Target  string   `msgpack:"t"`
-	Request string   `msgpack:"r"`
-	OwnPart string   `msgpack:"o"`
-	Parts   []string `msgpack:"p"`
-	AgeMs   int64    `msgpack:"a"`
+	ID       uint64   `msgpack:"i"`
+	Target   string   `msgpack:"t"`
+	Request  string   `msgpack:"r"`
+	Identity string   `msgpack:"n,omitempty"`
+	OwnPart  string   `msgpack:"o"`
+	Parts    []string `msgpack:"p"`
+	AgeMs    int64    `msgpack:"a"`
 }
 
-// ServedReport tells when the latest answer began that was served with a suspected part.
+// ServedReport tells when the latest answer began that was served to a suspected request, or
+// with a suspected part.
 type ServedReport struct {
-	Part  string `msgpack:"p"`
-	AgeMs int64  `msgpack:"a"`
+	Subject string `msgpack:"p"`
+	AgeMs   int64  `msgpack:"a"`
 }
 
 // VerdictReport is the wire format of a Verdict.
 type VerdictReport struct {
+	Request         string   `msgpack:"r,omitempty"`
 	Parts           []string `msgpack:"p"`
 	Crashes         int      `msgpack:"n"`
 	FirstCrashAgeMs int64    `msgpack:"f"`
@@ -65,13 +68,13 @@
 			if len(r.Crashes) == maxReportedCrashes || size > maxReportedBytes {
 				break
 			}
-			r.Crashes = append(r.Crashes, CrashReport{ID: c.ID, Target: c.Target, Request: c.Request, OwnPart: c.OwnPart, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
+			r.Crashes = append(r.Crashes, CrashReport{ID: c.ID, Target: c.Target, Request: c.Request, Identity: c.Identity, OwnPart: c.OwnPart, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
 		}
 	}
 	r.Served = d.servedSuspects(now)
 	for _, v := range d.verdicts {
 		if v.state == active {
-			r.Verdicts = append(r.Verdicts, VerdictReport{Parts: v.Parts, Crashes: v.Crashes, FirstCrashAgeMs: now.Sub(v.FirstCrash).Milliseconds(), LastCrashAgeMs: now.Sub(v.LastCrash).Milliseconds(), ServedBefore: v.servedBefore})
+			r.Verdicts = append(r.Verdicts, VerdictReport{Request: v.Request, Parts: v.Parts, Crashes: v.Crashes, FirstCrashAgeMs: now.Sub(v.FirstCrash).Milliseconds(), LastCrashAgeMs: now.Sub(v.LastCrash).Milliseconds(), ServedBefore: v.servedBefore})
 		}
 	}
 	if len(r.Crashes)+len(r.Served)+len(r.Verdicts) == 0 {
@@ -82,38 +85,37 @@
 
 // size returns the number of bytes of the names in a crash.
 func (c *Crash) size() int {
-	size := len(c.Target) + len(c.Request) + len(c.OwnPart)
+	size := len(c.Target) + len(c.Request) + len(c.Identity) + len(c.OwnPart)
 	for _, part := range c.Parts {
 		size += len(part)
 	}
 	return size
 }
 
-// servedSuspects returns what this VM has served of the parts that recent crashes and
+// servedSuspects returns what this VM has served of the subjects that recent crashes and
 // quarantines concern. d.mu must be held.
 func (d *Detector) servedSuspects(now time.Time) []ServedReport {
 	var reports []ServedReport
 	told := map[string]bool{}
-	tell := func(part string) {
-		at, ok := d.servedHere[part]
-		if ok && !told[part] && len(reports) < maxReportedServed {
-			told[part] = true
-			reports = append(reports, ServedReport{Part: part, AgeMs: now.Sub(at).Milliseconds()})
+	tell := func(subject string) {
+		at, ok := d.servedHere[subject]
+		if ok && !told[subject] && len(reports) < maxReportedServed {
+			told[subject] = true
+			reports = append(reports, ServedReport{Subject: subject, AgeMs: now.Sub(at).Milliseconds()})
 		}
 	}
 	for _, v := range d.verdicts {
-		for _, part := range v.Parts {
-			tell(part)
+		for _, subject := range v.cause().subjects() {
+			tell(subject)
 		}
 	}
 	for _, c := range slices.Backward(d.crashes) {
 		if now.Sub(c.At) > reportedFor {
 			continue
 		}
-		for _, part := range c.Parts {
-			tell(part)
+		for _, subject := range c.subjects() {
+			tell(subject)
 		}
-		tell(c.OwnPart)
 	}
 	return reports
 }
@@ -123,10 +125,10 @@
 	d.mu.Lock()
 	news := false
 	for _, s := range r.Served {
-		d.mergeServed(s.Part, now.Add(-age(s.AgeMs)))
+		d.mergeServed(s.Subject, now.Add(-age(s.AgeMs)))
 	}
 	for _, reported := range r.Crashes[:min(len(r.Crashes), maxReportedCrashes)] {
-		c := Crash{ID: reported.ID, Target: reported.Target, Request: reported.Request, OwnPart: reported.OwnPart, Parts: reported.Parts[:min(len(reported.Parts), maxPartsPerCrash)], At: now.Add(-age(reported.AgeMs))}
+		c := Crash{ID: reported.ID, Target: reported.Target, Request: reported.Request, Identity: reported.Identity, OwnPart: reported.OwnPart, Parts: reported.Parts[:min(len(reported.Parts), maxPartsPerCrash)], At: now.Add(-age(reported.AgeMs))}
 		if d.addCrash(c, false) {
 			news = news || d.servedAnyOf(c)
 		}
@@ -139,41 +141,38 @@
 // age converts an age of a report, which must not lie in the future.
 func age(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
 
-// servedAnyOf reports whether this VM has served a part of a crash, which is
+// servedAnyOf reports whether this VM has served a subject of a crash, which is
 // news for the other VMs. d.mu must be held.
 func (d *Detector) servedAnyOf(c Crash) bool {
-	_, ownPart := d.servedHere[c.OwnPart]
-	return ownPart || slices.ContainsFunc(c.Parts, func(part string) bool {
-		_, ok := d.servedHere[part]
+	return slices.ContainsFunc(c.subjects(), func(subject string) bool {
+		_, ok := d.servedHere[subject]
 		return ok
 	})
 }
 
-// mergeServed records that a part was served at another VM. d.mu must be held.
-func (d *Detector) mergeServed(part string, began time.Time) {
-	if _, known := d.servedElsewhere[part]; !known && len(d.servedElsewhere) >= maxServed {
+// mergeServed records that a subject was served at another VM. d.mu must be held.
+func (d *Detector) mergeServed(subject string, began time.Time) {
+	if _, known := d.servedElsewhere[subject]; !known && len(d.servedElsewhere) >= maxServed {
 		return
 	}
-	d.clear(part, began)
-	d.servedElsewhere[part] = latest(d.servedElsewhere[part], began)
+	d.clear(subject, began)
+	d.servedElsewhere[subject] = latest(d.servedElsewhere[subject], began)
 }
 
-// mergeVerdicts adopts the quarantines that another VM reports, except of parts that were
-// served since. It reports whether there are new ones. d.mu must be held.
+// mergeVerdicts adopts the quarantines that another VM reports, except of what was served since. It reports whether there are new ones. d.mu must be held.
 func (d *Detector) mergeVerdicts(reports []VerdictReport, now time.Time) bool {
 	condemned := false
 	for _, r := range reports[:min(len(reports), maxQuarantines)] {
-		v := &Verdict{Parts: r.Parts[:min(len(r.Parts), maxPartsPerCrash)], Crashes: r.Crashes, Since: now, FirstCrash: now.Add(-age(r.FirstCrashAgeMs)), LastCrash: now.Add(-age(r.LastCrashAgeMs)), servedBefore: r.ServedBefore}
+		v := &Verdict{Request: r.Request, Parts: r.Parts[:min(len(r.Parts), maxPartsPerCrash)], Crashes: r.Crashes, Since: now, FirstCrash: now.Add(-age(r.FirstCrashAgeMs)), LastCrash: now.Add(-age(r.LastCrashAgeMs)), servedBefore: r.ServedBefore}
 		v.Until = v.LastCrash.Add(v.term())
-		served := slices.ContainsFunc(v.Parts, func(part string) bool { return d.lastServed(part).Sub(v.FirstCrash) > clockMargin })
-		if len(v.Parts) == 0 || !now.Before(v.Until) || served || !newerThan(v, d.verdicts[v.key()]) {
+		served := slices.ContainsFunc(v.cause().subjects(), func(subject string) bool { return d.lastServed(subject).Sub(v.FirstCrash) > clockMargin })
+		if (v.Request == "") == (len(v.Parts) == 0) || !now.Before(v.Until) || served || !newerThan(v, d.verdicts[v.key()]) {
 			continue
 		}
 		d.makeRoom()
 		d.verdicts[v.key()] = v
 		condemned = true
-		d.log.Warn("prompt part quarantined", "parts", v.Parts, "crashes", r.Crashes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond),
-			"served_before", r.ServedBefore, "for", v.Until.Sub(now).Round(time.Second), "heard_from_peer", true)
+		d.logQuarantine(v, now, "crashes", r.Crashes, "heard_from_peer", true)
 	}
 	return condemned
 }
