--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -103,7 +103,7 @@
 		h.refuse(c, f)
 		return
 	}
-	defer h.bodyBudget.Release(int64(len(c.body)))
+	defer h.bodyBudget.Release(int64(cap(c.body)))
 	h.setWriteDeadline(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -262,32 +262,24 @@
 	if limit <= 0 {
 		limit = 4 << 20
 	}
-	if c.request.ContentLength > limit {
-		h.drainBody(c)
-		return refuseTooLarge
-	}
-	if !h.bodyBudget.TryAcquire(max(c.request.ContentLength, 0)) {
-		return refuseBuffersFull
-	}
 	h.setReadDeadline(c, c.deadline)
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, limit+1))
+	body, err := h.bodyBudget.ReadBody(c.request.Body, c.request.ContentLength, limit, nil)
 	h.setReadDeadline(c, time.Time{})
-	h.bodyBudget.Release(max(c.request.ContentLength, 0))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refuseSlowBody
-	}
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
-	}
-	if int64(len(body)) > limit {
+	switch {
+	case err == nil:
+		c.body = body
+		return nil
+	case errors.Is(err, budget.ErrBodyTooLarge):
 		h.drainBody(c)
 		return refuseTooLarge
-	}
-	if !h.bodyBudget.TryAcquire(int64(len(body))) {
+	case errors.Is(err, budget.ErrExhausted):
+		// Otherwise net/http would read on before it sends the refusal.
+		c.caller.w.Header().Set("Connection", "close")
 		return refuseBuffersFull
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuseSlowBody
 	}
-	c.body = body
-	return nil
+	return &refusal{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
 }
 
 // maxDrainBytes bounds what is read of a body that is too large.
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/topology"
 )
 
@@ -146,3 +149,26 @@
 	}
 	assert.Equal(t, allowed(), 2)
 }
+
+// Guards against bodies of unknown length that are held without being counted until they are
+// complete: a burst of them would exceed the memory of the process.
+func TestUploadIsCountedWhileItArrives(t *testing.T) {
+	const size, sent = 1 << 20, 300 << 10
+	v := newTestVM(t, 1, newTestTarget(t, func(c *connection) { c.respond(http.StatusOK, "", "") }))
+	v.bodyBudget = budget.NewBytes(size)
+	reader, writer := io.Pipe()
+	defer writer.Close()
+	go func() {
+		r, _ := http.NewRequest(http.MethodPost, v.server.URL+"/safe/x", reader) // sent in chunks
+		r.Header.Set("Id", "upload")
+		r.Header.Set("Timeout-Ms", "3000")
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	_, err := writer.Write(make([]byte, sent))
+	assert.NilError(t, err)
+	for end := time.Now().Add(2 * time.Second); v.bodyBudget.Available() > size-sent; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d of %d bytes acquired", size-v.bodyBudget.Available(), sent)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 	"unicode/utf8"
 
 	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/config"
 )
 
@@ -199,53 +199,24 @@
 // and the limit of the time without progress.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
 	limit := g.Limits.BodyBytes
-	if r.ContentLength > limit {
-		return nil, errBodyTooLarge(limit)
-	}
 	control := http.NewResponseController(w)
-	const firstChunk = 16 << 10
-	size := int64(firstChunk)
-	if r.ContentLength > 0 {
-		size = r.ContentLength + 1 // one more byte to detect the end without growing
-	}
-	// The buffer grows in steps even if a length is declared: an idle connection must not
-	// occupy megabytes of the budget.
-	buffer := make([]byte, 0, min(size, 256<<10))
-	if !g.bodyBudget.TryAcquire(int64(cap(buffer))) {
-		return nil, errBuffersFull
-	}
-	// After a failure the read deadline is kept, so that the server does not wait for the
-	// rest of the body before it sends the response.
-	fail := func(err error) ([]byte, error) {
-		g.bodyBudget.Release(int64(cap(buffer)))
-		w.Header().Set("Connection", "close")
-		return nil, err
-	}
-	for {
-		if len(buffer) == cap(buffer) {
-			grown := min(int64(2*cap(buffer)), limit+1)
-			if size > int64(len(buffer)) {
-				grown = min(grown, size)
-			}
-			if !g.bodyBudget.TryAcquire(grown - int64(cap(buffer))) {
-				return fail(errBuffersFull)
-			}
-			buffer = append(make([]byte, 0, grown), buffer...)
-		}
+	body, err := g.bodyBudget.ReadBody(r.Body, r.ContentLength, limit, func() {
 		control.SetReadDeadline(earliest(time.Now().Add(g.Limits.BodyReadTimeout), deadline))
-		n, err := r.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if int64(len(buffer)) > limit {
-			return fail(errBodyTooLarge(limit))
-		}
-		if errors.Is(err, io.EOF) {
-			control.SetReadDeadline(time.Time{})
-			return buffer, nil
-		}
-		if err != nil {
-			return fail(invalid("the body could not be read: %v", err))
-		}
+	})
+	if err == nil {
+		control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	// The read deadline is kept, so that the server does not wait for the rest of the body
+	// before it sends the response.
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, budget.ErrBodyTooLarge):
+		return nil, errBodyTooLarge(limit)
+	case errors.Is(err, budget.ErrExhausted):
+		return nil, errBuffersFull
 	}
+	return nil, invalid("the body could not be read: %v", err)
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -116,12 +116,11 @@
 		errIsolated.WithCause(err).Write(w)
 		return
 	}
-	buffered, err := h.readBody(w, r, c)
-	defer func() { h.bodyBudget.Release(buffered) }()
-	if err != nil {
+	if err := h.readBody(w, r, c); err != nil {
 		apierror.From(err).Write(w)
 		return
 	}
+	defer h.bodyBudget.Release(int64(cap(c.body)))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	control := http.NewResponseController(w)
--- a/internal/plain/request.go
+++ b/internal/plain/request.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -14,16 +13,15 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/apierror"
+	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/gateway"
 )
 
 const (
-	pathPrefix           = "/services/"
-	maxIDBytes           = 128
-	maxKeyBytes          = 256
-	initialBodyBuffer    = 16 << 10
-	maxInitialBodyBuffer = 256 << 10
+	pathPrefix  = "/services/"
+	maxIDBytes  = 128
+	maxKeyBytes = 256
 )
 
 func invalid(format string, args ...any) *apierror.Error {
@@ -143,44 +141,24 @@
 	return slices.Contains(c.cfg.Services[c.service].IdempotentMethods, c.method)
 }
 
-// readBody reads the body into c within the limits of size, buffered bytes and time. It
-// returns the number of bytes acquired from the budget, also on failure.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) (buffered int64, err error) {
-	limit := h.Limits.BodyBytes
-	if r.ContentLength > limit {
-		return 0, errTooLarge(limit)
-	}
+// readBody reads the body into c within the limits of size, buffered bytes and time. Its
+// capacity must be released to the budget.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) error {
 	control := http.NewResponseController(w)
 	defer control.SetReadDeadline(time.Time{})
-	step := int64(initialBodyBuffer)
-	if r.ContentLength >= 0 {
-		// The declared length is trusted only up to maxInitialBodyBuffer.
-		step = min(r.ContentLength+1, maxInitialBodyBuffer)
-	}
-	var buffer []byte
-	for {
-		if len(buffer) == cap(buffer) {
-			size := max(min(2*int64(cap(buffer)), limit+1), step)
-			if !h.bodyBudget.TryAcquire(size - buffered) {
-				return buffered, errBuffersFull
-			}
-			buffered = size
-			buffer = append(make([]byte, 0, size), buffer...)
-		}
+	body, err := h.bodyBudget.ReadBody(r.Body, r.ContentLength, h.Limits.BodyBytes, func() {
 		control.SetReadDeadline(earliest(time.Now().Add(h.Limits.BodyReadTimeout), c.deadline))
-		n, err := r.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if int64(len(buffer)) > limit {
-			return buffered, errTooLarge(limit)
-		}
-		if errors.Is(err, io.EOF) {
-			c.body = buffer
-			return buffered, nil
-		}
-		if err != nil {
-			return buffered, invalid("the body could not be read: %v", err)
-		}
-	}
+	})
+	switch {
+	case errors.Is(err, budget.ErrBodyTooLarge):
+		return errTooLarge(h.Limits.BodyBytes)
+	case errors.Is(err, budget.ErrExhausted):
+		return errBuffersFull
+	case err != nil:
+		return invalid("the body could not be read: %v", err)
+	}
+	c.body = body
+	return nil
 }
 
 func earliest(a, b time.Time) time.Time {
