--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -62,8 +62,9 @@
 	// that two calls do not choose the same slot.
 	placing   sync.Mutex
 	watchdogs watchdogSet
-	stopping  atomic.Bool
-	active    atomic.Int64
+	// acceptUntil is nil until StartDrain is called.
+	acceptUntil atomic.Pointer[time.Time]
+	active      atomic.Int64
 	// lifetime is done when calls get no more time; endCalls ends it.
 	lifetime context.Context
 	endCalls context.CancelFunc
@@ -75,8 +76,21 @@
 	h.lifetime, h.endCalls = context.WithCancel(context.Background())
 }
 
-// StartDrain makes the handler ask callers to close their connections.
-func (h *Handler) StartDrain() { h.stopping.Store(true) }
+// StartDrain makes the handler ask callers to close their connections. A request that is not
+// complete after accept is refused: too little time is left for its response.
+func (h *Handler) StartDrain(accept time.Duration) {
+	until := time.Now().Add(accept)
+	h.acceptUntil.Store(&until)
+}
+
+// draining reports whether StartDrain was called.
+func (h *Handler) draining() bool { return h.acceptUntil.Load() != nil }
+
+// drained reports whether requests that are complete only now must be refused.
+func (h *Handler) drained() bool {
+	until := h.acceptUntil.Load()
+	return until != nil && time.Now().After(*until)
+}
 
 // EndCalls ends all calls in progress, because the process is about to exit. A call whose
 // response has not begun is answered: a closed connection would not tell its caller whether the
@@ -92,7 +106,7 @@
 	defer h.active.Add(-1)
 	c := &call{request: r, arrived: time.Now(), tried: map[string]bool{}, caller: newCallerWriter(w)}
 	defer h.reportPanic(c)
-	if h.stopping.Load() {
+	if h.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	if f := h.resolve(c); f != nil {
@@ -104,6 +118,10 @@
 		return
 	}
 	defer h.bodyBudget.Release(int64(cap(c.body)))
+	if h.drained() {
+		h.refuse(c, refuseStopping)
+		return
+	}
 	h.setWriteDeadline(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -26,6 +26,7 @@
 	refuseTooLarge        = &refusal{http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration", 0}
 	refuseSlowBody        = &refusal{http.StatusRequestTimeout, "the body did not arrive before the deadline", 0}
 	refuseBuffersFull     = &refusal{http.StatusServiceUnavailable, "too many request bodies are held; try again", 500 * time.Millisecond}
+	refuseStopping        = &refusal{http.StatusServiceUnavailable, "this VM is stopping; try another one", 50 * time.Millisecond}
 	refuseNoTarget        = &refusal{http.StatusServiceUnavailable, "no target can take the request now; try again", 400 * time.Millisecond}
 	refuseBusy            = &refusal{http.StatusServiceUnavailable, "all targets are busy; try again", 700 * time.Millisecond}
 	refusePromptTooLarge  = &refusal{http.StatusServiceUnavailable, "the prompt cannot be read before the deadline", 2 * time.Second}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -43,6 +43,8 @@
 	// drainAcceptTime is how long a stopping VM still accepts connections. The load
 	// balancer probes readiness once a second and needs two failed probes.
 	drainAcceptTime = 2500 * time.Millisecond
+	// drainReadTime is how long a stopping VM still takes requests whose bodies arrive slowly.
+	drainReadTime = 3 * time.Second
 	// stopMargin is subtracted from the grace time, so that the process exits
 	// before it is killed. Within it, the callers of requests that are not
 	// complete get finalResponseTime to receive a response.
@@ -440,7 +442,7 @@
 	grace := p.settings.Load().Stop.Grace.Std() - stopMargin
 	p.log.Info("stopping", "active", p.handler.Active(), "grace", grace)
 	p.stopping.Store(true)
-	p.handler.StartDrain()
+	p.handler.StartDrain(min(drainReadTime, grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	wait.For(ctx, min(drainAcceptTime, grace/2))
