--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -28,6 +28,7 @@
 	"github.com/oriolefront/oriolefront/internal/operator"
 	"github.com/oriolefront/oriolefront/internal/order"
 	"github.com/oriolefront/oriolefront/internal/plain"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/resume"
 	"github.com/oriolefront/oriolefront/internal/scheduler"
 	"github.com/oriolefront/oriolefront/internal/seat"
@@ -51,13 +52,14 @@
 	seats      *seat.Manager
 	syncer     *confsync.Syncer
 
-	ledger    *capacity.Ledger
-	sweeper   *sweep.Sweeper
-	collector *load.Collector
-	admission *admission.Controller
-	claims    *claim.Executor
-	orders    *order.Manager
-	gateway   *gateway.Gateway
+	ledger     *capacity.Ledger
+	sweeper    *sweep.Sweeper
+	collector  *load.Collector
+	admission  *admission.Controller
+	claims     *claim.Executor
+	orders     *order.Manager
+	gateway    *gateway.Gateway
+	quarantine *quarantine.Detector
 
 	callerServer   *http.Server
 	operatorServer *http.Server
@@ -171,6 +173,8 @@
 		Table: p.store.Table(), Objects: p.store.Objects(), Holder: p.instanceName(), AuthorizeSend: p.checkMayStart, Log: p.log,
 	})
 	p.orders = order.New(order.Options{Table: p.store.Table(), Holder: p.instanceName(), CheckMayStart: p.checkMayStart, Log: p.log})
+	p.quarantine = quarantine.New(p.log)
+	p.members.Attach(p.quarantineAttachment())
 	limits := gateway.DefaultLimits()
 	limits.BodyBytes = s.Limits.BodyBytes
 	limits.HeldBytes = s.Limits.HeldBytes
@@ -183,10 +187,11 @@
 			Config: p.config, AccountFromContext: gateway.AccountFromContext, AuthorizeSend: p.checkMayStart, Claims: p.claims,
 			Share: p.plainConcurrency, Log: p.log, Limits: limits,
 		}),
-		Sealer:  sealer,
-		Log:     p.log,
-		Limits:  limits,
-		Metrics: gateway.NewMetrics(p.metrics),
+		Sealer:     sealer,
+		Log:        p.log,
+		Limits:     limits,
+		Metrics:    gateway.NewMetrics(p.metrics),
+		Quarantine: p.quarantine,
 	})
 	return nil
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -64,6 +64,7 @@
 		p.seats.Run,
 		p.ledger.Run,
 		p.sweeper.Run,
+		p.quarantine.Run,
 		p.collector.Run,
 		p.admission.Run,
 		p.claims.Run,
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -98,7 +98,7 @@
 	h.Metrics.CountTargetCrash()
 	h.Log.Warn("target crashed under a request that it had not answered", "request", a.c.meta.ID, "target", a.d.target.ID, "zone", a.d.target.Zone,
 		"identity", a.c.identity(), "parts", a.c.meta.SharedParts, "own_part", a.c.meta.OwnPart, "since_placement", at.Sub(a.d.running.StartedAt()).Round(time.Millisecond), "first_event", writing, "error", err)
-	h.Quarantine.RecordCrash(a.d.target.ID, a.c.suspect(), at)
+	h.Quarantine.RecordCrash(a.d.target.ID, a.c.suspect(), writing, at)
 	time.Sleep(quarantine.SettleTime)
 	h.Quarantine.Decide(time.Now())
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,7 @@
 	if err == nil {
 		err = d.relayWithResume(ctx, run)
 	}
+	d.recordEvidence(ctx, run, err)
 	if err == nil {
 		run.finish()
 		return nil
@@ -88,6 +89,9 @@
 }
 
 func (d *dispatch) prepare(grant *admission.Grant) (*attemptRun, error) {
+	if err := d.checkQuarantine(); err != nil {
+		return nil, err // it was quarantined while it was queued
+	}
 	prefix, err := d.g.Identity.AttemptPrefix()
 	if err != nil {
 		return nil, apierror.New(apierror.KindUnavailable, d.outcome(),
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -94,7 +94,10 @@
 	defer d.request.End()
 	for {
 		d.requestAttempts++
-		err := d.tryOnce(ctx)
+		err := d.checkQuarantine()
+		if err == nil {
+			err = d.tryOnce(ctx)
+		}
 		if err == nil {
 			return nil
 		}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -87,6 +87,7 @@
 	engines  []*standin.Engine
 	holder   *config.Holder
 	admitter *leastInFlight
+	servers  []*httptest.Server // of the engines
 	gateways []*Gateway
 	urls     []string
 }
@@ -119,7 +120,7 @@
 		e := standin.NewEngine(fastEngine())
 		go e.Run(t.Context())
 		f.engines = append(f.engines, e)
-		addEngine(t, cfg, fmt.Sprintf("e%d", i), e.Handler())
+		f.servers = append(f.servers, addEngine(t, cfg, fmt.Sprintf("e%d", i), e.Handler()))
 	}
 	f.holder.PublishIfNewer(cfg)
 	f.addGateways(t, gatewayCount, change)
@@ -136,12 +137,13 @@
 	return server
 }
 
-func addEngine(t *testing.T, cfg *config.Config, name string, h http.Handler) {
+func addEngine(t *testing.T, cfg *config.Config, name string, h http.Handler) *httptest.Server {
 	server := serve(t, h)
 	cfg.Targets[name] = config.Target{
 		Service: "lm", Zone: "iasi", Address: strings.TrimPrefix(server.URL, "http://"),
 		KVTokens: 400_000, PrefillTokensPerSecond: 500_000, DecodeTokensPerSecond: 1000, MaxRunning: 64,
 	}
+	return server
 }
 
 func (f *fixture) addGateways(t *testing.T, n int, change func(*Limits)) {
@@ -166,10 +168,16 @@
 	}
 }
 
-// send posts a completion with the librarians' key.
+// send posts a completion with the librarians' key to the first gateway.
 func (f *fixture) send(t *testing.T, body string, headers ...string) *http.Response {
 	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.urls[0]+"/v1/completions", strings.NewReader(body))
+	return f.sendTo(t, 0, body, headers...)
+}
+
+// sendTo is like send, for any gateway.
+func (f *fixture) sendTo(t *testing.T, gateway int, body string, headers ...string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.urls[gateway]+"/v1/completions", strings.NewReader(body))
 	assert.NilError(t, err)
 	return do(t, req, headers...)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/oriolefront/oriolefront/internal/budget"
 	"github.com/oriolefront/oriolefront/internal/config"
 	"github.com/oriolefront/oriolefront/internal/engine"
+	"github.com/oriolefront/oriolefront/internal/quarantine"
 	"github.com/oriolefront/oriolefront/internal/resume"
 )
 
@@ -87,6 +88,9 @@
 	Log      *slog.Logger
 	Limits   Limits
 	Metrics  *Metrics
+	// Quarantine knows the requests that crash targets. The default is one that no other VM
+	// hears of.
+	Quarantine *quarantine.Detector
 }
 
 // Gateway serves the callers' API of one VM.
@@ -114,6 +118,9 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(o.Log)
+	}
 	return &Gateway{
 		Options:        o,
 		bodyBudget:     budget.NewBytes(o.Limits.HeldBytes),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 	"unicode/utf8"
 
@@ -42,6 +43,9 @@
 	deadline      time.Time
 	arrived       time.Time
 	bufferedBytes int64
+
+	identityOnce sync.Once
+	identityHash string // see identity
 }
 
 func invalid(format string, args ...any) *apierror.Error {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -220,8 +220,8 @@
 	for n := range 20 {
 		a.quarantine.RecordServed(suspect("", strconv.Itoa(n), "f"), now)
 	}
-	a.quarantine.RecordCrash("e1", suspect("r1", "o1", "f", "x"), now.Add(-time.Second))
-	a.quarantine.RecordCrash("e2", suspect("r2", "o2", "f", "x"), now.Add(-100*time.Millisecond))
+	a.quarantine.RecordCrash("e1", suspect("r1", "o1", "f", "x"), false, now.Add(-time.Second))
+	a.quarantine.RecordCrash("e2", suspect("r2", "o2", "f", "x"), false, now.Add(-100*time.Millisecond))
 	a.quarantine.Decide(now)
 	eventually(t, "b refuses the part", func() bool {
 		_, found := b.quarantine.Check(suspect("r3", "o3", "x"), time.Now())
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -49,6 +49,8 @@
 	OwnPart string
 	// Parts are the parts that other requests may share.
 	Parts []string
+	// Begun is true if the response had begun, just before the crash.
+	Begun bool
 	At    time.Time
 }
 
@@ -140,12 +142,14 @@
 	events := slices.DeleteFunc(groupEvents(s.crashes), func(e *event) bool { return s.now.Sub(e.at) < SettleTime })
 	condemned := slices.Clone(s.condemned)
 	for {
-		best, ok := mostConspicuous(s, events, condemned)
-		if !ok {
+		next := mostConspicuous(s, events, condemned)
+		if len(next) == 0 {
 			return findings
 		}
-		findings = append(findings, best)
-		condemned = append(condemned, best.cause())
+		for _, f := range next {
+			findings = append(findings, f)
+			condemned = append(condemned, f.cause())
+		}
 	}
 }
 
@@ -209,10 +213,10 @@
 	return events
 }
 
-// mostConspicuous returns the cause to condemn next, if there is one: first those that were
-// condemned before, then parts that were never served, which explain the crashes of several
+// mostConspicuous returns what to condemn next, if there is anything: first a cause that was
+// condemned before, then a part that was never served, which explains the crashes of several
 // requests, then single requests, and then the part that was served longest ago.
-func mostConspicuous(s snapshot, events []*event, condemned []cause) (Finding, bool) {
+func mostConspicuous(s snapshot, events []*event, condemned []cause) []Finding {
 	isNew := func(f Finding) bool {
 		return !slices.ContainsFunc(condemned, func(x cause) bool { return x.until.IsZero() && x.equal(f.cause()) })
 	}
@@ -221,26 +225,24 @@
 	for _, f := range slices.Concat(parts, requests) {
 		for _, x := range condemned {
 			if f.renews(x) {
-				return f, true
+				return []Finding{f}
 			}
 		}
 	}
 	for _, f := range parts {
 		if !f.ServedBefore && s.experienced && newPartCondemned(s, f) {
-			return f, true
+			return []Finding{f}
 		}
 	}
-	for _, f := range requests {
-		if requestCondemned(s, f) {
-			return f, true
-		}
+	if found := condemnedRequests(s, requests); len(found) > 0 {
+		return found
 	}
 	for _, f := range parts {
 		if knownPartCondemned(s, f) {
-			return f, true
+			return []Finding{f}
 		}
 	}
-	return Finding{}, false
+	return nil
 }
 
 // renews reports whether a target crashed under a request that a lapsed quarantine concerned.
--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -16,13 +16,16 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // crash returns the record of a request that was present at a crash. Its own part, its identity
-// and its id are its name; a caller's second try is named with a trailing quote.
+// and its id are its name; a caller's second try is named with a trailing quote, one
+// whose response had begun with a prefix.
 func crash(ms int, target, request string, parts ...string) Crash {
+	begun := strings.HasPrefix(request, "begun-")
+	request = strings.TrimPrefix(request, "begun-")
 	ownPart := request
 	if request[len(request)-1] == '\'' {
 		ownPart = request[:len(request)-1]
 	}
-	return Crash{Target: target, Request: request, Identity: ownPart, OwnPart: "own-" + ownPart, Parts: parts, At: at(ms)}
+	return Crash{Target: target, Request: request, Identity: ownPart, OwnPart: "own-" + ownPart, Parts: parts, Begun: begun, At: at(ms)}
 }
 
 // condemned returns the names of what findings condemn.
@@ -136,6 +139,26 @@
 				crash(600, "c", "r1'", "f")},
 			want: []string{"request:r1"},
 		},
+		"a request that is sent again beside the culprit, and begins": {now: 300,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f"), crash(0, "a", "a1", "f"),
+				crash(300, "b", "r1", "f"), crash(300, "b", "begun-a1", "f")},
+			want: []string{"request:r1"},
+		},
+		"two requests at the same three crashes": {now: 600,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f"), crash(0, "a", "a1", "f"),
+				crash(300, "b", "r1", "f"), crash(300, "b", "a1", "f"),
+				crash(600, "c", "r1'", "f"), crash(600, "c", "a1'", "f")},
+			want: []string{"request:a1", "request:r1"},
+		},
+		"a request that had begun at the same three crashes": {now: 600,
+			crashes: []Crash{
+				crash(0, "a", "r1", "f"), crash(0, "a", "a1", "f"),
+				crash(300, "b", "r1", "f"), crash(300, "b", "a1", "f"),
+				crash(600, "c", "r1'", "f"), crash(600, "c", "begun-a1'", "f")},
+			want: []string{"request:r1"},
+		},
 		"a bystander of two culprits, of which one is known": {now: 900,
 			crashes: []Crash{
 				crash(0, "a", "r1", "f"), crash(0, "a", "s1", "f"), crash(300, "b", "r1", "f"),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"context"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/oriolefront/oriolefront/internal/wait"
 )
 
 // Times and limits of what is remembered.
@@ -160,11 +163,11 @@
 }
 
 // RecordCrash records that a target crashed while this VM had a request there that was not
-// answered yet. Decide must be called SettleTime later.
-func (d *Detector) RecordCrash(target string, r Request, now time.Time) {
+// answered yet, or whose response had only just begun. Decide must be called SettleTime later.
+func (d *Detector) RecordCrash(target string, r Request, begun bool, now time.Time) {
 	identity := r.Identity()
 	d.mu.Lock()
-	c := Crash{ID: rand.Uint64(), Target: target, Request: r.ID, Identity: identity, OwnPart: r.OwnPart, Parts: d.mostSuspicious(r.Parts), At: now}
+	c := Crash{ID: rand.Uint64(), Target: target, Request: r.ID, Identity: identity, OwnPart: r.OwnPart, Parts: d.mostSuspicious(r.Parts), Begun: begun, At: now}
 	added := d.addCrash(c, true)
 	d.mu.Unlock()
 	d.announce(false, added)
@@ -375,6 +378,16 @@
 	d.announce(condemned, false)
 }
 
+// tickInterval is the interval at which Run calls Tick.
+const tickInterval = 100 * time.Millisecond
+
+// Run calls Tick until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	for wait.For(ctx, tickInterval) {
+		d.Tick(time.Now())
+	}
+}
+
 // decisionTime is how long after a crash the passing of time may change the decision.
 const decisionTime = 2 * servedDelay
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -31,8 +31,8 @@
 
 // condemn makes a part crash two targets.
 func condemn(d *Detector, part string) {
-	d.RecordCrash("t1", request("r1", "o1", []string{"f", part}), at(0))
-	d.RecordCrash("t2", request("r2", "o2", []string{"f", part}), at(500))
+	d.RecordCrash("t1", request("r1", "o1", []string{"f", part}), false, at(0))
+	d.RecordCrash("t2", request("r2", "o2", []string{"f", part}), false, at(500))
 	d.Decide(at(550))
 }
 
@@ -62,7 +62,7 @@
 	d.Tick(at(end))
 	assert.Assert(t, !quarantined(d, "x", end))
 	assert.Equal(t, d.Active(), 0)
-	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), at(end+1000))
+	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), false, at(end+1000))
 	d.Decide(at(end + 1030))
 	assert.Assert(t, quarantined(d, "x", end+1031))
 }
@@ -72,7 +72,7 @@
 func TestLaterCrashExtendsQuarantine(t *testing.T) {
 	d := newExperienced()
 	condemn(d, "x")
-	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), at(10_000))
+	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), false, at(10_000))
 	d.Tick(at(500 + int(newPartTerm.Milliseconds())))
 	assert.Assert(t, quarantined(d, "x", 9_000+int(newPartTerm.Milliseconds())))
 }
@@ -94,8 +94,8 @@
 func TestPartsThatCameTogether(t *testing.T) {
 	pair := func() *Detector {
 		d := newExperienced()
-		d.RecordCrash("t1", request("r1", "o1", []string{"f", "a", "x"}), at(0))
-		d.RecordCrash("t2", request("r2", "o2", []string{"f", "a", "x"}), at(500))
+		d.RecordCrash("t1", request("r1", "o1", []string{"f", "a", "x"}), false, at(0))
+		d.RecordCrash("t2", request("r2", "o2", []string{"f", "a", "x"}), false, at(500))
 		d.Decide(at(550))
 		return d
 	}
@@ -112,7 +112,7 @@
 	assert.Assert(t, forbidden(other, 1520, "f", "x") && !forbidden(other, 1520, "f", "a"))
 
 	d = pair()
-	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), at(2000))
+	d.RecordCrash("t3", request("r3", "o3", []string{"f", "x"}), false, at(2000))
 	d.Decide(at(2030))
 	assert.Assert(t, forbidden(d, 2040, "f", "x") && !forbidden(d, 2040, "f", "a"))
 }
@@ -120,9 +120,9 @@
 // Guards against VMs that each need the whole evidence: each of them sees one crash.
 func TestEvidenceOfSeveralVMs(t *testing.T) {
 	a, b := newExperienced(), newExperienced()
-	a.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), at(0))
+	a.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), false, at(0))
 	exchange(t, a, b, 10)
-	b.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), at(500))
+	b.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), false, at(500))
 	b.Decide(at(530))
 	assert.Assert(t, quarantined(b, "x", 531))
 	exchange(t, b, a, 540)
@@ -139,11 +139,11 @@
 	asked := false
 	b.OnEvidence = func() { asked = true }
 	b.RecordServed(request("", "o7", []string{"x"}), at(-5000))
-	a.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), at(0))
+	a.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), false, at(0))
 	exchange(t, a, b, 10)
 	assert.Assert(t, asked, "b does not tell at once that it has served the part")
 	exchange(t, b, a, 20)
-	a.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), at(500))
+	a.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), false, at(500))
 	a.Decide(at(530))
 	assert.Assert(t, !quarantined(a, "x", 531))
 
@@ -162,14 +162,14 @@
 // target tells of it a moment later.
 func TestCulpritAtAnotherVM(t *testing.T) {
 	a, b := newExperienced(), newExperienced()
-	a.RecordCrash("t1", request("s1", "q1", []string{"f", "y"}), at(0))
-	b.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), at(1))
+	a.RecordCrash("t1", request("s1", "q1", []string{"f", "y"}), false, at(0))
+	b.RecordCrash("t1", request("r1", "o1", []string{"f", "x"}), false, at(1))
 	exchange(t, b, a, 5)
 	exchange(t, a, b, 5)
-	a.RecordCrash("t2", request("s2", "q2", []string{"f", "y"}), at(500))
+	a.RecordCrash("t2", request("s2", "q2", []string{"f", "y"}), false, at(500))
 	a.Decide(at(500))
 	assert.Assert(t, !quarantined(a, "y", 501))
-	b.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), at(501))
+	b.RecordCrash("t2", request("r2", "o2", []string{"f", "x"}), false, at(501))
 	exchange(t, b, a, 515)
 	a.Decide(at(530))
 	assert.Assert(t, !quarantined(a, "y", 531))
@@ -201,7 +201,7 @@
 		many = append(many, fmt.Sprintf("%064d", n))
 	}
 	for n := range 3000 {
-		d.RecordCrash(fmt.Sprint("t", n/100), request(fmt.Sprint("r", n), fmt.Sprint("o", n), many), at(n))
+		d.RecordCrash(fmt.Sprint("t", n/100), request(fmt.Sprint("r", n), fmt.Sprint("o", n), many), false, at(n))
 	}
 	for n := range 3 * maxServed {
 		d.RecordServed(request("", fmt.Sprint("o", n), []string{fmt.Sprint("p", n)}), at(n))
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -33,6 +33,7 @@
 	Identity string   `msgpack:"n,omitempty"`
 	OwnPart  string   `msgpack:"o"`
 	Parts    []string `msgpack:"p"`
+	Begun    bool     `msgpack:"b,omitempty"`
 	AgeMs    int64    `msgpack:"a"`
 }
 
@@ -68,7 +69,7 @@
 			if len(r.Crashes) == maxReportedCrashes || size > maxReportedBytes {
 				break
 			}
-			r.Crashes = append(r.Crashes, CrashReport{ID: c.ID, Target: c.Target, Request: c.Request, Identity: c.Identity, OwnPart: c.OwnPart, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
+			r.Crashes = append(r.Crashes, CrashReport{ID: c.ID, Target: c.Target, Request: c.Request, Identity: c.Identity, OwnPart: c.OwnPart, Parts: c.Parts, Begun: c.Begun, AgeMs: now.Sub(c.At).Milliseconds()})
 		}
 	}
 	r.Served = d.servedSuspects(now)
@@ -128,7 +129,7 @@
 		d.mergeServed(s.Subject, now.Add(-age(s.AgeMs)))
 	}
 	for _, reported := range r.Crashes[:min(len(r.Crashes), maxReportedCrashes)] {
-		c := Crash{ID: reported.ID, Target: reported.Target, Request: reported.Request, Identity: reported.Identity, OwnPart: reported.OwnPart, Parts: reported.Parts[:min(len(reported.Parts), maxPartsPerCrash)], At: now.Add(-age(reported.AgeMs))}
+		c := Crash{ID: reported.ID, Target: reported.Target, Request: reported.Request, Identity: reported.Identity, OwnPart: reported.OwnPart, Parts: reported.Parts[:min(len(reported.Parts), maxPartsPerCrash)], Begun: reported.Begun, At: now.Add(-age(reported.AgeMs))}
 		if d.addCrash(c, false) {
 			news = news || d.servedAnyOf(c)
 		}
