--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -302,6 +302,9 @@
 // startProcess starts a process that is killed when the test ends.
 func (f *Fleet) startProcess(bin string, args ...string) (*exec.Cmd, *output, chan error) {
 	cmd := exec.Command(bin, args...)
+	// In a process group of its own: if the shell that started the tests ends while a process is
+	// stopped, the kernel sends SIGHUP to all processes of an orphaned group.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	out := &output{}
 	cmd.Stderr = out
 	assert.NilError(f.t, cmd.Start())
