--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -14,21 +12,15 @@
 	"github.com/oriolefront/oriolefront/internal/quarantine"
 )
 
-const (
-	// crashDialTimeout bounds the connection probe that tells a crashed engine from one that
-	// closed a connection.
-	crashDialTimeout = 250 * time.Millisecond
-	// identityBytes is the length of the hash that identifies a request.
-	identityBytes = 8
-)
+// crashDialTimeout bounds the connection probe that tells a crashed engine from one that closed a
+// connection.
+const crashDialTimeout = 250 * time.Millisecond
 
 // identity identifies the request over its caller's tries, which have new request ids.
 func (c *call) identity() string {
 	c.identityOnce.Do(func() {
-		hash := sha256.New()
-		fmt.Fprintf(hash, "%q %q %q %d ", c.account, c.path, c.model, c.maxTokens)
-		hash.Write(c.prompt)
-		c.identityHash = hex.EncodeToString(hash.Sum(nil)[:identityBytes])
+		fields := fmt.Sprintf("%q %q %q %d ", c.account, c.path, c.model, c.maxTokens)
+		c.identityHash = quarantine.Identity(fields, c.prompt)
 	})
 	return c.identityHash
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,10 +8,8 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -46,50 +44,6 @@
 	maxQuarantines      = 64
 )
 
-// Verdict is the quarantine of a request, of a part, or of several parts that always came
-// together at crashes: requests with all of them are refused.
-type Verdict struct {
-	// Request is the identity of the request; Parts is empty then.
-	Request string
-	Parts   []string
-	// Crashes is the number of crashes that are explained by the request or the parts.
-	Crashes    int
-	Since      time.Time
-	FirstCrash time.Time
-	LastCrash  time.Time
-	// Until is when the quarantine lapses unless another target crashes under the cause.
-	Until time.Time
-
-	servedBefore bool
-	state        state
-}
-
-// state is the state of a quarantine. Those that have ended are remembered for a while.
-type state uint8
-
-const (
-	active  state = iota
-	lapsed        // no target crashed under the part for long enough
-	cleared       // a request with the part was served
-)
-
-func (v *Verdict) cause() cause { return cause{request: v.Request, parts: v.Parts} }
-
-// key identifies the quarantine by its cause.
-func (v *Verdict) key() string { return strings.Join(v.cause().subjects(), "+") }
-
-// forbids reports whether the quarantine is in force and concerns a request.
-func (v *Verdict) forbids(identity string, parts []string) bool {
-	return v.state == active && v.cause().in(identity, parts)
-}
-
-func (v *Verdict) term() time.Duration {
-	if v.servedBefore {
-		return knownPartTerm
-	}
-	return newPartTerm
-}
-
 // Detector decides which requests and parts are quarantined. It may be used concurrently.
 type Detector struct {
 	log *slog.Logger
@@ -242,120 +196,6 @@
 	}
 }
 
-// RecordServed records that a request is served: a target began its answer at the given time
-// and completed it, or went on writing for SurvivalTime.
-func (d *Detector) RecordServed(r Request, began time.Time) {
-	identity := ""
-	if d.anySuspects() {
-		identity = r.Identity()
-	}
-	d.mu.Lock()
-	news := d.recordServed(r, identity, began)
-	d.mu.Unlock()
-	if news && d.OnEvidence != nil {
-		d.OnEvidence()
-	}
-}
-
-func (d *Detector) anySuspects() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.suspects) > 0
-}
-
-// recordServed implements RecordServed. It reports whether this is news for the other VMs.
-// d.mu must be held.
-func (d *Detector) recordServed(r Request, identity string, began time.Time) bool {
-	if len(r.Parts) > 0 {
-		d.servedCount++
-		d.recent = append(d.recent[max(len(d.recent)-minServed+1, 0):], began)
-	}
-	news := false
-	for _, part := range r.Parts {
-		news = d.clear(part, began) || news
-		d.servedHere[part] = latest(d.servedHere[part], began)
-	}
-	for _, subject := range []string{r.OwnPart, requestKey(identity)} {
-		if _, suspected := d.suspects[subject]; suspected {
-			news = d.clear(subject, began) || news
-			d.servedHere[subject] = latest(d.servedHere[subject], began)
-		}
-	}
-	d.pruneServed(began)
-	return news
-}
-
-// clear ends the quarantine of a part or a request that was served after its first crash. It
-// reports whether this is news for the other VMs: it was a suspect until now. d.mu must be held.
-func (d *Detector) clear(subject string, served time.Time) bool {
-	crash, suspected := d.suspects[subject]
-	news := suspected && served.After(crash) && !d.lastServed(subject).After(crash)
-	for _, v := range slices.Collect(maps.Values(d.verdicts)) {
-		if v.state != cleared && slices.Contains(v.cause().subjects(), subject) && served.Sub(v.FirstCrash) > clockMargin {
-			d.acquit(v, subject, served)
-			news = true
-		}
-	}
-	return news
-}
-
-// acquit ends a quarantine, or removes one of several parts from it: a request with the part was
-// served after the first of the crashes. d.mu must be held.
-func (d *Detector) acquit(v *Verdict, part string, served time.Time) {
-	if len(v.Parts) <= 1 {
-		d.logEnd(v, "it was served", served)
-		v.state = cleared
-		return
-	}
-	rest := *v
-	rest.Parts = slices.DeleteFunc(slices.Clone(v.Parts), func(other string) bool { return other == part })
-	d.log.Info("quarantine of prompt parts narrowed", "parts", v.Parts, "served", part)
-	v.state = cleared
-	if d.verdicts[rest.key()] == nil {
-		d.verdicts[rest.key()] = &rest
-	}
-}
-
-func (d *Detector) logEnd(v *Verdict, reason string, now time.Time) {
-	message := "quarantine of a prompt part ended"
-	if v.Request != "" {
-		message = "quarantine of a request ended"
-	}
-	d.log.Warn(message, "identity", v.Request, "parts", v.Parts, "reason", reason, "crashes", v.Crashes,
-		"last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond))
-}
-
-// lastServed returns when the latest answer with a part, or to a request, began at any VM. d.mu
-// must be held.
-func (d *Detector) lastServed(subject string) time.Time {
-	return latest(d.servedHere[subject], d.servedElsewhere[subject])
-}
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-// pruneServed bounds the memory of served parts. d.mu must be held.
-func (d *Detector) pruneServed(now time.Time) {
-	if len(d.servedHere) <= maxServed {
-		return
-	}
-	times := make([]time.Time, 0, len(d.servedHere))
-	for _, at := range d.servedHere {
-		times = append(times, at)
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	limit := latest(times[len(times)/4], now.Add(-servedMemory))
-	for part, at := range d.servedHere {
-		if at.Before(limit) || at.Equal(limit) {
-			delete(d.servedHere, part)
-		}
-	}
-}
-
 // Tick ends quarantines that have lapsed, forgets old evidence, and repeats the decision, which
 // also depends on time. It is called several times a second.
 func (d *Detector) Tick(now time.Time) {
@@ -435,27 +275,6 @@
 	return len(findings) > 0
 }
 
-// logQuarantine logs that a quarantine begins, with the evidence.
-func (d *Detector) logQuarantine(v *Verdict, now time.Time, evidence ...any) {
-	message, attributes := "prompt part quarantined", []any{"parts", v.Parts, "served_before", v.servedBefore}
-	if v.Request != "" {
-		message, attributes = "request quarantined", []any{"identity", v.Request, "request_ids", d.requestIDs(v.Request)}
-	}
-	attributes = append(attributes, "last_crash_age", now.Sub(v.LastCrash).Round(time.Millisecond), "for", v.Until.Sub(now).Round(time.Second))
-	d.log.Warn(message, append(attributes, evidence...)...)
-}
-
-// requestIDs returns the ids of the tries of a request at crashes. d.mu must be held.
-func (d *Detector) requestIDs(identity string) []string {
-	var ids []string
-	for _, c := range d.crashes {
-		if c.Identity == identity && !slices.Contains(ids, c.Request) {
-			ids = append(ids, c.Request)
-		}
-	}
-	return ids
-}
-
 func (d *Detector) snapshot(now time.Time) snapshot {
 	s := snapshot{now: now, crashes: d.crashes, served: map[string]time.Time{}, experienced: d.servedCount >= minExperience, recent: d.recent}
 	for _, c := range d.crashes {
@@ -478,20 +297,6 @@
 	return s
 }
 
-// makeRoom drops the quarantine that ends first if there are too many. d.mu must be held.
-func (d *Detector) makeRoom() {
-	if len(d.verdicts) < maxQuarantines {
-		return
-	}
-	first := ""
-	for key, v := range d.verdicts {
-		if first == "" || v.Until.Before(d.verdicts[first].Until) {
-			first = key
-		}
-	}
-	delete(d.verdicts, first)
-}
-
 // announce calls the callbacks, without the lock.
 func (d *Detector) announce(condemned, news bool) {
 	if (news || condemned) && d.OnEvidence != nil {
--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"slices"
 	"strings"
 )
@@ -27,6 +30,19 @@
 	Parts   []string
 }
 
+// identityBytes is the length of an identity. It is long enough that two requests hardly ever
+// share one.
+const identityBytes = 8
+
+// Identity returns what identifies a request over its caller's tries: a hash of the fields and the
+// body that stay the same, which is equal at all VMs.
+func Identity(fields string, body []byte) string {
+	hash := sha256.New()
+	io.WriteString(hash, fields)
+	hash.Write(body)
+	return hex.EncodeToString(hash.Sum(nil)[:identityBytes])
+}
+
 // requestFindings returns the evidence against each request that may be condemned, those with the most crashes first,
 // and of these the ones that were the only explanation of a crash. A crash that a condemned cause
 // explains is no evidence against another request.
