--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -259,6 +259,9 @@
 		for range rapid.IntRange(0, 30).Draw(r, "crashes") {
 			n := rapid.IntRange(0, 6).Draw(r, "target")
 			request := fmt.Sprintf("r%d", rapid.IntRange(0, 15).Draw(r, "request"))
+			if rapid.Bool().Draw(r, "begun") {
+				request = "begun-" + request
+			}
 			parts := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 3, rapid.ID).Draw(r, "parts")
 			// Each target crashes once, some of them in one outage.
 			s.crashes = append(s.crashes, crash([]int{0, 20, 40, 900, 2500, 5000, 9000}[n], fmt.Sprint(n), request, parts...))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -21,9 +21,9 @@
 	// SurvivalTime is how long a target must have been writing a response until its parts
 	// count as served. A crash takes far less.
 	SurvivalTime = time.Second
-	// newPartTerm and knownPartTerm are how long a part stays quarantined after its last crash.
-	// The term of a part that was served earlier is shorter, because it may be condemned wrongly
-	// and many requests may have it.
+	// newPartTerm and knownPartTerm are how long a part stays quarantined after its last crash, a
+	// request as long as a new part. The term of a part that was served earlier is shorter,
+	// because it may be condemned wrongly and many requests may have it.
 	newPartTerm   = 3 * time.Minute
 	knownPartTerm = 30 * time.Second
 	// probationTime is how long after the end of a quarantine one crash renews it.
--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -43,9 +43,9 @@
 	return hex.EncodeToString(hash.Sum(nil)[:identityBytes])
 }
 
-// requestFindings returns the evidence against each request that may be condemned, those with the most crashes first,
-// and of these the ones that were the only explanation of a crash. A crash that a condemned cause
-// explains is no evidence against another request.
+// requestFindings returns the evidence against each request that may be condemned, those with the
+// most crashes first, and of these the ones that were the only explanation of a crash. A crash
+// that a condemned cause explains is no evidence against another request.
 func requestFindings(s snapshot, events []*event, condemned []cause) []Finding {
 	byIdentity := map[string]*tally{}
 	for _, e := range events {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -29,8 +29,8 @@
 
 const (
 	active  state = iota
-	lapsed        // no target crashed under the part for long enough
-	cleared       // a request with the part was served
+	lapsed        // no target crashed under the cause for long enough
+	cleared       // the request, or one with the part, was served
 )
 
 func (v *Verdict) cause() cause { return cause{request: v.Request, parts: v.Parts} }
@@ -43,6 +43,7 @@
 	return v.state == active && v.cause().in(identity, parts)
 }
 
+// term returns how long the quarantine lasts after the last crash.
 func (v *Verdict) term() time.Duration {
 	if v.servedBefore {
 		return knownPartTerm
