--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -115,6 +115,9 @@
 	}
 	if f := h.readBody(c); f != nil {
 		h.refuse(c, f)
+		if f == refuseBuffersFull {
+			h.drainBody(c) // its caller is still sending and could not read the refusal otherwise
+		}
 		return
 	}
 	defer h.bodyBudget.Release(int64(cap(c.body)))
@@ -291,8 +294,7 @@
 		h.drainBody(c)
 		return refuseTooLarge
 	case errors.Is(err, budget.ErrExhausted):
-		// Otherwise net/http would read on before it sends the refusal.
-		c.caller.w.Header().Set("Connection", "close")
+		h.refuseDuringUpload(c)
 		return refuseBuffersFull
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuseSlowBody
@@ -300,6 +302,16 @@
 	return &refusal{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
 }
 
+// refuseDuringUpload prepares a refusal that is sent at once, while the caller is still sending
+// the body. Without it net/http reads on before it sends the response.
+func (h *Handler) refuseDuringUpload(c *call) {
+	c.caller.w.Header().Set("Connection", "close")
+	h.setReadDeadline(c, c.deadline)
+	if err := c.caller.control.EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		h.Log.Warn("refusal not sent during the upload", "request", c.meta.ID, "error", err)
+	}
+}
+
 // maxDrainBytes bounds what is read of a body that is too large.
 const maxDrainBytes = 16 << 20
 
--- a/internal/forward/limits_test.go
+++ b/internal/forward/limits_test.go
@@ -1,8 +1,12 @@
 package forward
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,3 +176,28 @@
 		assert.Assert(t, time.Now().Before(end), "%d of %d bytes acquired", size-v.bodyBudget.Available(), sent)
 	}
 }
+
+// Guards against a caller that cannot read the refusal of its upload, because the connection is
+// closed while it sends, and against a refusal that waits for the rest of the body.
+func TestUploadIsRefusedReadably(t *testing.T) {
+	v := newTestVM(t, 1, newTestTarget(t, func(c *connection) { c.respond(http.StatusOK, "", "") }))
+	v.bodyBudget = budget.NewBytes(64 << 10)
+	c, err := net.Dial("tcp", v.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	const chunk = 32 << 10
+	send := func(text string) {
+		_, err := io.WriteString(c, text)
+		assert.NilError(t, err)
+	}
+	send("POST /safe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: upload\r\nTimeout-Ms: 3000\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for range 60 {
+		send(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk)))
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil) // the upload has not ended
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+}
