--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,4 +11,4 @@
 printf 'module standin\n\ngo 1.26\n' >"$work/go.mod"
 mkdir -p target
 out="$PWD/target/review-standin-2"
-(cd "$work" && GOFLAGS=-mod=mod GOWORK=off go build -o "$out" .)
+(cd "$work" && GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local go build -o "$out" .)
