connlimit: the test of the limit on requests in service waits for their end

TestRequestsInServiceAreLimited released the two requests in service and sent a third one at once. A caller has its whole response before the server has ended the request, so there may still be two then, and 503 is right.

It now waits until none is in service, within the test's timeout, before it sends the third request. It is as strict: each status is checked as before, the limit must still hold after the refusal, and requests that never end fail it.

--- a/internal/connlimit/guard_test.go
+++ b/internal/connlimit/guard_test.go
@@ -360,15 +360,25 @@
 		io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		return bufio.NewReader(c)
 	}
-	served := []*bufio.Reader{request(), request()}
-	eventually(t, "two requests in service", func() bool { g.budget.mu.Lock(); defer g.budget.mu.Unlock(); return g.serving == 2 })
-	status, _, err := readResponse(request())
-	assert.NilError(t, err)
-	assert.Equal(t, status, 503)
-	close(release)
-	for _, r := range append(served, request()) {
+	serving := func() int {
+		g.budget.mu.Lock()
+		defer g.budget.mu.Unlock()
+		return g.serving
+	}
+	assertStatus := func(r *bufio.Reader, want int) {
+		t.Helper()
 		status, _, err := readResponse(r)
 		assert.NilError(t, err)
-		assert.Equal(t, status, 200)
+		assert.Equal(t, status, want)
+	}
+	served := []*bufio.Reader{request(), request()}
+	eventually(t, "two requests in service", func() bool { return serving() == 2 })
+	assertStatus(request(), 503)
+	assert.Equal(t, serving(), 2)
+	close(release)
+	for _, r := range served {
+		assertStatus(r, 200)
 	}
+	eventually(t, "no request in service", func() bool { return serving() == 0 }) // a caller has its response before
+	assertStatus(request(), 200)
 }
