upstream: a response that is reset during the upload is not complete

What callers saw: a server answered a long upload at once with 200, without a length or chunks, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete response, on each kind of route; a stream was not continued, an idempotent request not sent to another target.

Cause: the kernel reports a reset to one call only. The goroutine that writes the body is told, and the goroutine that reads the response then sees an ordinary end, which completes a response that ends with its connection.

Fix: the end of a connection ends a response only once the request was written without an error and the kernel says that the target has acknowledged all of it and has not reset the connection (TCP_INFO). So it also holds for an upload that is written later than the response ends, and for a target that crashes with a FIN while bytes of the upload are on their way. A response with a length or chunks is complete without its connection and is taken as before, also when it comes early; so is one that ends with its connection if the target reads the rest of the request.

--- a/internal/tcp/peek.go
+++ b/internal/tcp/peek.go
@@ -10,11 +10,7 @@
 // while another goroutine reads from it. It returns nil if there are any, syscall.EAGAIN if not,
 // io.EOF if the other end has closed the connection, and otherwise the error of the connection.
 func Peek(c net.Conn) error {
-	conn, ok := c.(syscall.Conn)
-	if !ok {
-		return syscall.ENOTSUP
-	}
-	raw, err := conn.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, c.readError(err)
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c}
+	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, endsWithConnection: endsWithConnection(resp)}
 	return resp, checkHead(resp)
 }
 
@@ -121,21 +121,48 @@
 	return fmt.Errorf("%w: %w", failure, err)
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks: only the end of its
+// connection ends it.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // responseBody is the body of a response on a connection.
 type responseBody struct {
 	io.ReadCloser
-	conn *conn
+	conn               *conn
+	endsWithConnection bool
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		err = b.conn.readError(err)
+	switch {
+	case err == nil:
+		return n, nil
+	case !errors.Is(err, io.EOF):
+		return n, b.conn.readError(err)
+	case b.endsWithConnection:
+		return n, b.conn.endOfStream()
 	}
 	return n, err
 }
 
+// endOfStream returns io.EOF if the stream of the target has ended in order and the target has
+// received the whole request, and else why not. A read alone can't tell: it sees an ordinary end if
+// a write was told of the reset, and if the target has crashed during the upload.
+func (c *conn) endOfStream() error {
+	<-c.written // a write of a closed connection fails
+	err := c.writeErr
+	if err == nil {
+		err = tcp.AwaitAcknowledged(c.Conn)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: the target has not received the whole request: %w", io.ErrUnexpectedEOF, err)
+	}
+	return io.EOF
+}
+
 // maxStatus is the highest status of a response.
 const maxStatus = 599
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -274,9 +274,7 @@
 
 // EndsWithConnection reports whether the response has neither a length nor chunks: only the end
 // of its connection ends it.
-func (e *Exchange) EndsWithConnection() bool {
-	return e.ContentLength < 0 && len(e.TransferEncoding) == 0
-}
+func (e *Exchange) EndsWithConnection() bool { return endsWithConnection(e.Response) }
 
 // Close ends the exchange. If it is not complete, the connection is closed, which makes the
 // target cancel the request.
