upstream: a folded line in the head of a response makes it malformed

What callers saw: a server in trouble sent a line that begins with a blank or a tab in the head of a response. net/http joins it to the field before it, so "A: b" and " Content-Length: 2" became one field: the caller got a body that is not the server's, up to the end of the connection, as a complete response.

Cause: http.ReadResponse unfolds lines and tells nobody. RFC 9112, section 5.2, lets a gateway answer 502 to such a response.

Late and interim responses are scanned too, also when they come with the bytes of the next head. It replaces what upstream checked after the parse (version, range of the status, spaces in names), so that one check serves all heads; status 000 and 099, signs, blanks, tabs and control bytes in names were rejected before and still are, by tests that are kept or new.

--- a/internal/forward/invalid_response_test.go
+++ b/internal/forward/invalid_response_test.go
@@ -24,6 +24,7 @@
 			c.spoil(4)
 		},
 		"malformed head":    func(c *connection) { io.WriteString(c, "\x00\x01 nothing of HTTP\r\n\r\n") },
+		"folded line":       func(c *connection) { fmt.Fprintf(c, head+"A: b\r\n Content-Length: 2\r\n\r\nid: 1\n", c.id) },
 		"foreign response":  func(c *connection) { fmt.Fprintf(c, head+"Connection: close\r\nContent-Length: 1\r\n\r\nx", "another") },
 		"malformed chunk":   func(c *connection) { fmt.Fprintf(c, head+"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", c.id) },
 		"not a stream":      func(c *connection) { c.respond(200, "", "x") },
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -21,7 +20,8 @@
 	net.Conn
 	key       string
 	address   string       // as dialed
-	limiter   *readLimiter // below reader
+	limiter   *readLimiter // below head
+	head      *headReader  // below reader
 	reader    *bufio.Reader
 	used      int
 	lastID    string        // of the latest request
@@ -88,16 +88,10 @@
 	return nil, errForeignResponse
 }
 
-// protocolPrefix is the begin of each response.
-const protocolPrefix = "HTTP/"
-
 // readHead reads the status and header of one response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	begin, err := c.reader.Peek(len(protocolPrefix))
-	if !strings.HasPrefix(protocolPrefix, string(begin)) {
-		return nil, fmt.Errorf("%w: begins with %q", errMalformedHead, begin)
-	}
-	if err != nil {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.begin(buffered); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -105,7 +99,7 @@
 		return nil, c.readError(err)
 	}
 	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, endsWithConnection: endsWithConnection(resp)}
-	return resp, checkHead(resp)
+	return resp, nil
 }
 
 // readError returns the error of the connection if it ended before the rest of a response, and
@@ -163,23 +157,6 @@
 	return io.EOF
 }
 
-// maxStatus is the highest status of a response.
-const maxStatus = 599
-
-// checkHead returns an error unless the head of a response can be relayed. http.ReadResponse
-// accepts any number as a status, any version, and names of headers that contain spaces.
-func checkHead(resp *http.Response) error {
-	if resp.ProtoMajor != 1 || resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
-		return fmt.Errorf("%w: %s, status %d", errMalformedHead, resp.Proto, resp.StatusCode)
-	}
-	for name := range resp.Header {
-		if strings.Contains(name, " ") {
-			return fmt.Errorf("%w: header %.40q", errMalformedHead, name)
-		}
-	}
-	return nil
-}
-
 // answers reports whether a response with an id, which may be empty, is that to a request. One
 // without an id is, if nothing else was sent on the connection.
 func (c *conn) answers(r Request, id string) bool {
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -52,6 +52,23 @@
 		"other version":          "HTTP/2.0 200 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n",
 		"header without a colon": ok + "nonsense\r\nContent-Length: 0\r\n\r\n",
 		"space in a name":        ok + "A B: c\r\nContent-Length: 0\r\n\r\n",
+		"space before a colon":   ok + "Content-Length : 5\r\n\r\nhello",
+		"tab in a name":          ok + "A\tB: c\r\nContent-Length: 0\r\n\r\n",
+		"control in a name":      ok + "A\x01B: c\r\nContent-Length: 0\r\n\r\n",
+		"NUL in a name":          ok + "A\x00B: c\r\nContent-Length: 0\r\n\r\n",
+		"CR in a value":          ok + "A: b\rc\r\nContent-Length: 0\r\n\r\n",
+		"no name":                ok + ": c\r\nContent-Length: 0\r\n\r\n",
+		"folded line":            ok + "A: b\r\n Content-Length: 2\r\n\r\nhello",
+		"folded with a tab":      ok + "A: b\r\n\tContent-Length: 2\r\n\r\nhello",
+		"folded, no CR":          ok + "A: b\n Content-Length: 2\n\nhello",
+		"folded empty line":      ok + "Content-Length: 0\r\n \r\n\r\n",
+		"first line folded":      "HTTP/1.1 200 OK\r\n Id: x\r\nContent-Length: 0\r\n\r\n",
+		"folded interim":         "HTTP/1.1 103 Early\r\nA: b\r\n c\r\n\r\n" + ok + "Content-Length: 0\r\n\r\n",
+		"space in interim name":  "HTTP/1.1 103 Early\r\nA B: c\r\n\r\n" + ok + "Content-Length: 0\r\n\r\n",
+		"status 000":             "HTTP/1.1 000 No\r\nId: x\r\nContent-Length: 0\r\n\r\n",
+		"status 099":             "HTTP/1.1 099 No\r\nId: x\r\nContent-Length: 0\r\n\r\n",
+		"interim 099":            "HTTP/1.1 099 No\r\n\r\n" + ok + "Content-Length: 0\r\n\r\n",
+		"signed status":          "HTTP/1.1 +20 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n",
 		"control in a value":     ok + "A: b\x00c\r\nContent-Length: 0\r\n\r\n",
 		"head cut off":           ok + "Content-Len",
 		"interim without end":    strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", 100) + ok + "Content-Length: 0\r\n\r\n",
@@ -140,3 +157,24 @@
 	assert.Assert(t, err != nil, "%q", body)
 	assert.ErrorIs(t, err, errUnexpectedData)
 }
+
+// Guards against a malformed head that is accepted because it comes with that of a late response to
+// an earlier request.
+func TestMalformedHeadAfterLateResponse(t *testing.T) {
+	const late = "HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 5\r\n\r\nwrong"
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		address := startTarget(t, func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(t, r)
+			write(c, "first", "right")
+			readRequest(t, r)
+			io.WriteString(c, late)
+			time.Sleep(delay)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: next\r\nA: b\r\n Content-Length: 2\r\n\r\nhello")
+		})
+		p := NewPool(nil)
+		_, err := do(t, p, address, "first")
+		assert.NilError(t, err)
+		body, err := do(t, p, address, "next")
+		assert.Assert(t, err != nil, "%q", body)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -145,7 +145,6 @@
 	errForeignResponse = errors.New("target sent only responses to other requests")
 	// errUnidentifiedResponse is not skipped: the target may send no other response.
 	errUnidentifiedResponse = errors.New("target sent a response without an id on a connection with earlier requests")
-	errMalformedHead        = errors.New("target sent a malformed head of a response")
 	errUnexpectedData       = errors.New("connection carries unexpected bytes")
 )
 
@@ -236,7 +235,8 @@
 		p.onDial()
 	}
 	limiter := &readLimiter{reader: raw}
-	return &conn{Conn: raw, key: key, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	head := &headReader{reader: limiter}
+	return &conn{Conn: raw, key: key, address: address, limiter: limiter, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // CanConnect reports whether an address accepts a connection.
