upstream: a transfer encoding in an HTTP/1.0 response makes it malformed

What callers would see: of a response that begins with HTTP/1.0 and has "Transfer-Encoding: chunked", the chunks with their sizes as the body, complete at the end of the connection.

Cause: net/http removes the field and ignores it. RFC 9112, section 6.1: the framing of such a message must be treated as faulty.

Fix: the scanner of package httphead rejects the field there.

"encoding in HTTP/1.0" of TestMalformedResponsesAreFailures failed before: it returned "5\r\nhello\r\n0\r\n\r\n".

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,6 +1,6 @@
 // Package httphead checks the heads of HTTP/1 responses while they are received. net/http accepts
-// some that are malformed by RFC 9112: statuses below 100, spaces in the names of fields, and folded
-// lines. A client that takes them may find a body that the server did not send.
+// some that are malformed by RFC 9112: statuses below 100, spaces in the names of fields, folded lines,
+// and transfer encodings in HTTP/1.0. A client that takes them may find a body that the server did not send.
 package httphead
 
 import (
@@ -209,7 +209,13 @@
 		return nil
 	}
 	switch string(s.name[:s.position]) {
-	case contentLength, transferEncoding:
+	case transferEncoding:
+		if s.minor == '0' {
+			// RFC 9112, section 6.1: the framing is faulty. net/http would return the chunks as the body.
+			return fmt.Errorf("%w: transfer encoding in HTTP/1.0", ErrMalformed)
+		}
+		s.framed = true
+	case contentLength:
 		s.framed = true
 	}
 	return nil
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -68,6 +68,7 @@
 		"status 000":             "HTTP/1.1 000 No\r\nId: x\r\nContent-Length: 0\r\n\r\n",
 		"status 099":             "HTTP/1.1 099 No\r\nId: x\r\nContent-Length: 0\r\n\r\n",
 		"interim 099":            "HTTP/1.1 099 No\r\n\r\n" + ok + "Content-Length: 0\r\n\r\n",
+		"encoding in HTTP/1.0":   "HTTP/1.0 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 		"signed status":          "HTTP/1.1 +20 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n",
 		"control in a value":     ok + "A: b\x00c\r\nContent-Length: 0\r\n\r\n",
 		"head cut off":           ok + "Content-Len",
