upstream: a test that malformed trailers reach no caller

So a blank in a name or a folded line there costs nobody anything, and a response whose body is whole is taken. A control byte in a name was rejected before (net/http) and still is.

--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -43,6 +43,7 @@
 		"chunk cut off":          ok + "Transfer-Encoding: chunked\r\n\r\n9\r\nhello",
 		"no last chunk":          ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
 		"trailer cut off":        ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX: y",
+		"control in trailer":     ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA\x01B: c\r\n\r\n",
 		"endless trailer":        ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + strings.Repeat("X: y\r\n", 10_000) + "\r\n",
 		"status too short":       "HTTP/1.1 20 OK\r\nId: x\r\n\r\n",
 		"status too long":        "HTTP/1.1 2000 OK\r\nId: x\r\n\r\n",
@@ -179,3 +180,18 @@
 		assert.Assert(t, err != nil, "%q", body)
 	}
 }
+
+// Guards against a response that is rejected for a line of its trailer. Trailers are not relayed, and
+// the body before them is complete.
+func TestMalformedTrailersAreDropped(t *testing.T) {
+	for _, trailer := range []string{"A B: c\r\n", "A : c\r\n", "A: b\r\n c\r\n", "A: b\r\n Content-Length: 2\r\n", "Content-Length : 2\r\n"} {
+		text := "HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + trailer + "\r\n"
+		e, err := NewPool(nil).Do(t.Context(), "target", answerWith(t, text), get("x"))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(e.Body)
+		assert.Check(t, err, "%q", trailer)
+		assert.Equal(t, string(body), "hello")
+		assert.Equal(t, len(e.Header), 1, "%q: %v", trailer, e.Header)
+		e.Close()
+	}
+}
