httpclient: a status that is none of a final response is no success

What callers could get: an engine in trouble answered with status 000, 099 or 101, and its events were taken for those of the request; its answers to cancel and order counted as done. The objects of the store counted as written.

Cause: http.Transport returns any status of three digits, and 101 although no request asks for another protocol. internal/engine and internal/store/httpstore take each status below 300 for a success.

Fix: package httpclient wraps http.Transport and returns an error in place of a response below 200; all clients of engines, plain targets, the store of oriolefront and the users' platform use it. Package plain had the check by itself, which goes; its tests stay.

TestStatusOutOfRange failed before: in internal/engine 000, 099 and 101 were a success of Start, Resume, Cancel and Order (600 and 999 were not), in httpstore 000 was one of a commit and of a put (the test stopped there). platform/ rejected all of them before; its test is new and passes on the old code.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -16,6 +16,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/logging"
 	"github.com/oriolefront/oriolefront/internal/sse"
 	"github.com/oriolefront/oriolefront/internal/tcp"
@@ -44,8 +45,8 @@
 )
 
 // NewTransport returns the HTTP transport shared by all engine clients.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+func NewTransport() *httpclient.Transport {
+	return httpclient.New(&http.Transport{
 		DialContext:         tcp.Dialer().DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     90 * time.Second,
@@ -54,7 +55,7 @@
 		WriteBufferSize:     streamBuffer,
 		// A broken engine may send a head without end.
 		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+	})
 }
 
 // HTTPClient is the Client for engines that serve the completion API over HTTP
--- /dev/null
+++ b/internal/engine/malformed_response_test.go
@@ -0,0 +1,26 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolefront/oriolefront/internal/rawserver"
+)
+
+// Guards against a response with a status that is none of a final response, and that is taken for a
+// success: its events would reach the caller, and a call would seem to have had its effect.
+func TestStatusOutOfRange(t *testing.T) {
+	const rest = "X-Start-Number: 1\r\n\r\nid: 0\ndata: {\"id\":\"0.1.1.1\",\"choices\":[{\"text\":\"a\"}]}\n\n"
+	for _, status := range []string{"000 No", "099 No", "101 Switching Protocols", "600 No", "999 No"} {
+		address := rawserver.Start(t, rawserver.Text(fmt.Sprintf("HTTP/1.1 %s\r\n%s", status, rest)))
+		client := NewHTTPClient(address, NewTransport())
+		_, err := start(t, client)
+		assert.Check(t, err != nil, "start, status %s", status)
+		_, err = client.Resume(t.Context(), "0.1.1.1", 0)
+		assert.Check(t, err != nil, "resume, status %s", status)
+		assert.Check(t, client.Cancel(t.Context(), "0.1.1.1") != nil, "cancel, status %s", status)
+		assert.Check(t, client.Order(t.Context(), Order{}) != nil, "order, status %s", status)
+	}
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -23,6 +23,7 @@
 	"github.com/oriolefront/oriolefront/internal/confsync"
 	"github.com/oriolefront/oriolefront/internal/engine"
 	"github.com/oriolefront/oriolefront/internal/gateway"
+	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/link"
 	"github.com/oriolefront/oriolefront/internal/load"
 	"github.com/oriolefront/oriolefront/internal/membership"
@@ -368,7 +369,7 @@
 
 // clientCache keeps one engine client per address.
 type clientCache struct {
-	transport *http.Transport
+	transport *httpclient.Transport
 	byAddress sync.Map // string to engine.Client
 }
 
--- a/internal/plain/transport.go
+++ b/internal/plain/transport.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/oriolefront/oriolefront/internal/gateway"
+	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/logging"
 )
 
@@ -31,9 +31,25 @@
 
 // newPooledTransport returns a transport that keeps connections. It may retry a request by
 // itself, so it is for idempotent requests only.
-func newPooledTransport() *http.Transport {
+func newPooledTransport() *httpclient.Transport {
+	t := baseTransport()
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return httpclient.New(t)
+}
+
+// newUnpooledTransport returns a transport that opens a connection for each request.
+// http.Transport retries a request with an Idempotency-Key when a kept connection breaks,
+// but never on a new connection. A new connection also makes the first write the first byte
+// of the request, where sendGuard checks.
+func newUnpooledTransport() *httpclient.Transport {
+	t := baseTransport()
+	t.DisableKeepAlives = true
+	t.DialContext = dialGuarded
+	return httpclient.New(t)
+}
+
+func baseTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        90 * time.Second,
 		DisableCompression:     true,
@@ -41,23 +57,15 @@
 	}
 }
 
-// newUnpooledTransport returns a transport that opens a connection for each request.
-// http.Transport retries a request with an Idempotency-Key when a kept connection breaks,
-// but never on a new connection. A new connection also makes the first write the first byte
-// of the request, where sendGuard checks.
-func newUnpooledTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	t := newPooledTransport()
-	t.DisableKeepAlives = true
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		g, _ := ctx.Value(guardKey{}).(*sendGuard)
-		return &guardedConn{Conn: conn, guard: g}, nil
+// dialGuarded opens a connection with the guard of ctx.
+func dialGuarded(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
-	return t
+	g, _ := ctx.Value(guardKey{}).(*sendGuard)
+	return &guardedConn{Conn: conn, guard: g}, nil
 }
 
 type guardKey struct{}
@@ -166,17 +174,12 @@
 	}
 }
 
-// roundTrip is like RoundTripper.RoundTrip, but returns an error for a response that is not final:
-// no request asks for another protocol, and net/http passes any status below 100.
+// roundTrip is like RoundTripper.RoundTrip, but its error is short, whatever the target sent.
 func roundTrip(transport http.RoundTripper, req *http.Request) (*http.Response, error) {
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, logging.BoundError(err)
 	}
-	if resp.StatusCode < http.StatusOK {
-		resp.Body.Close()
-		return nil, fmt.Errorf("target sent status %d, which ends no request", resp.StatusCode)
-	}
 	return resp, nil
 }
 
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -20,6 +20,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/oriolefront/oriolefront/internal/budget"
+	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/store"
 	"github.com/oriolefront/oriolefront/internal/wait"
 )
@@ -94,14 +95,14 @@
 		o.OnContact = func() {}
 	}
 	if o.Transport == nil {
-		o.Transport = &http.Transport{
+		o.Transport = httpclient.New(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
 			// A broken service may send a head without end.
 			MaxResponseHeaderBytes: maxResponseHeader,
-		}
+		})
 	}
 }
 
