httpclient: malformed heads are rejected at the other door and by the platform's clients

What callers of oriolefront saw: the events of an engine, or the body of a plain target, although the head held a name with a blank, a blank before a colon, a folded line, or a transfer encoding in HTTP/1.0, also in an interim response. With "Content-Length : 1" or "Transfer-Encoding : chunked" and with folded lengths the body was not the server's. The clients of the users' platform and of oriolefront's store took such responses, too: rows, writes, duty calls.

Cause: as in package upstream, http.Transport hides these from its callers.

Fix: the transport of package httpclient scans each head with httphead as it arrives. Connections are told by httptrace that a request is about to be written, so that the next bytes are a head, on kept connections too; bodies are not scanned. The error names the malformed byte, where net/http reports a cut head; upstream does the same now.

A target's status 600 was relayed; it counts as malformed now, as at the other door.

--- a/internal/engine/malformed_response_test.go
+++ b/internal/engine/malformed_response_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -24,3 +25,20 @@
 		assert.Check(t, client.Order(t.Context(), Order{}) != nil, "order, status %s", status)
 	}
 }
+
+// Guards against a response that is taken although its head is malformed.
+func TestMalformedHeads(t *testing.T) {
+	const events = "id: 0\ndata: {\"id\":\"0.1.1.1\",\"choices\":[{\"text\":\"a\"}]}\n\n"
+	for name, response := range rawserver.MalformedHeads("X-Start-Number: 1\r\n", events) {
+		client := NewHTTPClient(rawserver.Start(t, rawserver.Text(response)), NewTransport())
+		_, err := start(t, client)
+		assert.Check(t, errors.Is(err, ErrInterrupted), "start, %s: %v", name, err)
+		_, err = client.Resume(t.Context(), "0.1.1.1", 0)
+		assert.Check(t, err != nil, "resume, %s", name)
+		assert.Check(t, client.Cancel(t.Context(), "0.1.1.1") != nil, "cancel, %s", name)
+	}
+	for name, response := range rawserver.MalformedHeads("", `{"start_number":1,"running":2,"kv_tokens":7}`) {
+		_, err := NewHTTPClient(rawserver.Start(t, rawserver.Text(response)), NewTransport()).Load(t.Context())
+		assert.Check(t, err != nil, "load, %s", name)
+	}
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -3,21 +3,43 @@
 package httpclient
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper. A response that it returns is a final one.
+// Transport is an http.RoundTripper. A response that it returns is a final one with a sound head. It
+// doesn't check responses over TLS any further than http.Transport.
 type Transport struct{ http *http.Transport }
 
-// New returns a Transport that uses t, which must not be used otherwise.
-func New(t *http.Transport) *Transport { return &Transport{http: t} }
+// New returns a Transport that uses t, which must have a DialContext and must not be used otherwise.
+func New(t *http.Transport) *Transport {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Transport{http: t}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.http.RoundTrip(r)
+	var used atomic.Pointer[conn] // the latest one: http.Transport may send a request once more
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.beginRequest()
+			used.Store(c)
+		}
+	}}
+	resp, err := t.http.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
-		return nil, err
+		return nil, responseError(used.Load(), err)
 	}
 	// http.Transport returns any status below 100, and 101 although no request asks for it.
 	if resp.StatusCode < http.StatusOK {
@@ -27,5 +49,17 @@
 	return resp, nil
 }
 
+// responseError returns why a connection got no response. http.Transport, whose error is err, sees a
+// cut head in place of a malformed one. The connection may be nil.
+func responseError(c *conn, err error) error {
+	if c == nil {
+		return err
+	}
+	if malformed := c.malformed(); malformed != nil {
+		return malformed
+	}
+	return err
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
--- a/internal/plain/spoiled_answer_test.go
+++ b/internal/plain/spoiled_answer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolefront/oriolefront/internal/config"
+	"github.com/oriolefront/oriolefront/internal/rawserver"
 	"github.com/oriolefront/oriolefront/internal/tcp"
 	"github.com/oriolefront/oriolefront/internal/testlog"
 )
@@ -68,6 +70,8 @@
 	"no response, only a hint": "HTTP/1.1 103 Early Hints\r\n\r\n",
 }
 
+func init() { maps.Copy(spoiledAnswers, rawserver.MalformedHeads("", "ok")) }
+
 // Guards against a spoiled response of a plain target that looks complete to a caller, and against
 // one to an idempotent request that another target could have served.
 func TestSpoiledPlainAnswer(t *testing.T) {
--- a/internal/store/httpstore/malformed_response_test.go
+++ b/internal/store/httpstore/malformed_response_test.go
@@ -1,6 +1,7 @@
 package httpstore
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -25,3 +26,20 @@
 		assert.Check(t, err != nil, "get, status %s", status)
 	}
 }
+
+// Guards against a response that is taken although its head is malformed.
+func TestMalformedHeads(t *testing.T) {
+	for name, response := range rawserver.MalformedHeads("", `{"revision":7,"rows":[{"key":"k","revision":3}]}`) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			url := "http://" + rawserver.Start(t, rawserver.Text(response))
+			client := New(Options{TableURL: url, ObjectsURL: url, CallTimeout: time.Second})
+			_, err := client.Table().Commit(t.Context(), insert("k"))
+			assert.Check(t, errors.Is(err, store.ErrUnknown), "commit: %v", err)
+			_, err = client.Table().Get(t.Context(), "k")
+			assert.Check(t, err != nil, "get")
+			_, err = client.Objects().Get(t.Context(), "o")
+			assert.Check(t, err != nil, "object")
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -95,6 +95,9 @@
 		return nil, err
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if malformed := c.head.scanner.Err(); malformed != nil {
+		return nil, malformed // net/http sees a cut head only
+	}
 	if err != nil {
 		return nil, c.readError(err)
 	}
