--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -1,10 +1,7 @@
 package forward
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -12,51 +9,19 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/oriolefront/oriolefront/internal/tcp"
+	"github.com/oriolefront/oriolefront/internal/rawserver"
 )
 
-// longUploadBytes is more than the kernel buffers of a connection.
-const longUploadBytes = 3 << 20
-
-// upload sends a request with a long body and returns the status and the body of the response. An
-// interrupted response is an error.
-func (v *testVM) upload(path string) (int, string, error) {
-	r, err := http.NewRequestWithContext(v.t.Context(), http.MethodPost, v.server.URL+path, bytes.NewReader(make([]byte, longUploadBytes)))
-	assert.NilError(v.t, err)
-	r.Header.Set("Id", "a")
-	r.Header.Set("Timeout-Ms", fmt.Sprint(v.timeout.Milliseconds()))
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(r)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(body), err
-}
+// longUpload is more than the kernel buffers of a connection.
+var longUpload = make([]byte, 3<<20)
 
 // newEarlyTarget starts a target that responds to the head of each request with text, before it has
-// read the body, and then closes the connection.
-func newEarlyTarget(t *testing.T, text string, closing func(c *net.TCPConn)) *testTarget {
-	l, err := tcp.ListenReserved()
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", r.Header.Get("Id"), text)
-					closing(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return &testTarget{listener: l}
+// read the body, and then ends the connection.
+func newEarlyTarget(t *testing.T, text string, end func(c *net.TCPConn)) *testTarget {
+	return &testTarget{address: rawserver.Start(t, func(c *net.TCPConn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", r.Header.Get("Id"), text)
+		end(c)
+	})}
 }
 
 // Guards against a caller that gets a part of a response as a complete one, because the target
@@ -78,7 +43,7 @@
 				t.Parallel()
 				v := newTestVM(t, 1, newEarlyTarget(t, text, closing))
 				for range 5 {
-					status, body, err := v.upload(path)
+					status, body, err := v.exchange(t.Context(), http.MethodPost, path, "a", longUpload)
 					assert.Check(t, err != nil || status >= http.StatusInternalServerError, "status %d, %q", status, body)
 				}
 			})
@@ -108,7 +73,7 @@
 			v := newTestVM(t, 2, broken, sound)
 			v.reveal()
 			for range 5 {
-				status, body, err := v.upload(path)
+				status, body, err := v.exchange(t.Context(), http.MethodPost, path, "a", longUpload)
 				assert.Check(t, err)
 				assert.Check(t, status == http.StatusOK && body == want, "status %d, %q", status, body)
 			}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -112,6 +113,7 @@
 
 // testTarget is a target that runs a script for each request.
 type testTarget struct {
+	address  string
 	listener net.Listener
 	arrivals atomic.Int32
 	script   func(c *connection)
@@ -149,7 +151,7 @@
 	l, err := tcp.ListenReserved()
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
-	target := &testTarget{listener: l, script: script}
+	target := &testTarget{address: l.Addr().String(), listener: l, script: script}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -176,7 +178,7 @@
 func newTestVM(t *testing.T, maxTargets int, targets ...*testTarget) *testVM {
 	v := &testVM{t: t, timeout: 3 * time.Second}
 	for i, target := range targets {
-		v.targets = append(v.targets, &topology.Target{ID: fmt.Sprint("t", i+1), Service: "s", Address: target.listener.Addr().String(), Slots: 1000})
+		v.targets = append(v.targets, &topology.Target{ID: fmt.Sprint("t", i+1), Service: "s", Address: target.address, Slots: 1000})
 	}
 	config := &topology.Config{Services: []topology.Service{{Name: "s"}}}
 	for _, r := range []topology.Route{{Name: "safe", Kind: topology.Idempotent}, {Name: "once", Kind: topology.AtMostOnce}, {Name: "stream", Kind: topology.Stream, Resumable: true}, {Name: "volatile", Kind: topology.Stream}} {
@@ -227,7 +229,12 @@
 
 // send sends a request and returns the status and the body. An interrupted response is an error.
 func (v *testVM) send(ctx context.Context, path, id string) (int, string, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, v.server.URL+path, nil)
+	return v.exchange(ctx, http.MethodGet, path, id, nil)
+}
+
+// exchange is like send, for a request with any method and body.
+func (v *testVM) exchange(ctx context.Context, method, path, id string, body []byte) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, v.server.URL+path, bytes.NewReader(body))
 	assert.NilError(v.t, err)
 	r.Header.Set("Id", id)
 	r.Header.Set("Timeout-Ms", fmt.Sprint(v.timeout.Milliseconds()))
@@ -238,8 +245,8 @@
 		return 0, "", err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(body), err
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
 }
 
 // assertReleased checks that nothing is held for calls that have ended, and how many retries
--- a/internal/httpclient/httpclient_test.go
+++ b/internal/httpclient/httpclient_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/oriolefront/oriolefront/internal/httphead"
 	"github.com/oriolefront/oriolefront/internal/rawserver"
-	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
 func newTransport() *Transport {
@@ -47,41 +46,22 @@
 	}
 }
 
-// startKeeping starts a server that answers the requests of a connection with the given responses,
-// one after the other, in pieces of a size. It returns its address and the number of connections.
-func startKeeping(t *testing.T, size int, responses ...string) (string, *atomic.Int32) {
-	t.Helper()
-	var accepted atomic.Int32
-	l, err := tcp.ListenReserved()
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
+// answerEach returns a responder that answers the requests of a connection with the given responses,
+// one after the other, in pieces of a size. It counts connections.
+func answerEach(connections *atomic.Int32, size int, responses ...string) rawserver.Responder {
+	return func(c *net.TCPConn, r *http.Request) {
+		connections.Add(1)
+		for _, response := range responses {
+			io.Copy(io.Discard, r.Body)
+			for rest := response; rest != ""; rest = rest[min(size, len(rest)):] {
+				io.WriteString(c, rest[:min(size, len(rest))])
+			}
+			var err error
+			if r, err = http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
 			}
-			accepted.Add(1)
-			go answerEach(c, size, responses)
-		}
-	}()
-	return l.Addr().String(), &accepted
-}
-
-func answerEach(c net.Conn, size int, responses []string) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	for _, response := range responses {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, r.Body)
-		for rest := response; rest != ""; rest = rest[min(size, len(rest)):] {
-			io.WriteString(c, rest[:min(size, len(rest))])
 		}
 	}
-	reader.ReadByte() // until the client closes the connection
 }
 
 // Guards against a body that is taken for a head, and against a head that is not checked because it
@@ -94,7 +74,8 @@
 	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nA : b\r\n c\r\n\r\n", len(body), body)
 	interim := "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + response("A: b\r\n")
 	for _, size := range []int{1, 7, 1 << 20} {
-		address, accepted := startKeeping(t, size, response(""), chunked, interim, "HTTP/1.1 204 None\r\n\r\n", response(""), response("A : b\r\n"))
+		var connections atomic.Int32
+		address := rawserver.Start(t, answerEach(&connections, size, response(""), chunked, interim, "HTTP/1.1 204 None\r\n\r\n", response(""), response("A : b\r\n")))
 		transport := newTransport()
 		for _, want := range []string{body, body, body, "", body} {
 			got, err := exchange(t, transport, address, "request")
@@ -103,23 +84,21 @@
 		}
 		_, err := exchange(t, transport, address, "request")
 		assert.ErrorIs(t, err, httphead.ErrMalformed)
-		assert.Equal(t, accepted.Load(), int32(1))
+		assert.Equal(t, connections.Load(), int32(1))
 	}
 }
 
 // Guards against a request that fails because its connection was closed while it was idle.
 func TestClosedIdleConnectionIsReplaced(t *testing.T) {
-	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	address := rawserver.Start(t, rawserver.Text(response))
-	transport := newTransport()
+	address := rawserver.Start(t, rawserver.Text("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	client := http.Client{Transport: newTransport()}
 	for range 20 {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address, nil)
-		assert.NilError(t, err)
-		resp, err := transport.RoundTrip(r)
+		resp, err := client.Get("http://" + address)
 		assert.NilError(t, err)
 		body, err := io.ReadAll(resp.Body)
 		assert.NilError(t, err)
 		assert.Equal(t, string(body), "ok")
+		resp.Body.Close()
 		time.Sleep(time.Millisecond)
 	}
 }
