forward, engine: a refusal is not awaited to the end of the upload

Cause: both read such a response to its end, which now comes after the upload. Nobody needs that end: the connection is not used again, and the promise is in the head.

Fix: the body of such a refusal isn't read if it ends with the connection.

TestNotRunDoesNotWaitForUpload failed before: a request that runs once got 503 after 3.0 s in place of the other target's response. TestRefusalDoesNotWaitForUpload failed with 2.0 s, bound 1 s.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -161,17 +161,26 @@
 	case resp.StatusCode == http.StatusPreconditionFailed:
 		return merry.Wrap(ErrStaleFencing)
 	}
-	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
-	text := fmt.Sprintf("engine responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(detail))
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		return merry.Prepend(ErrNotRun, text)
+	notRun := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	text := fmt.Sprintf("engine responded with status %d", resp.StatusCode)
+	if !notRun || !httpclient.EndsWithConnection(resp) { // the end might come after a long upload only
+		text += ": " + errorDetail(resp)
 	}
-	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+	switch {
+	case notRun:
+		return merry.Prepend(ErrNotRun, text)
+	case resp.StatusCode >= 400 && resp.StatusCode < 500:
 		return merry.Prepend(ErrRejected, text)
 	}
 	return merry.Prepend(ErrInterrupted, text)
 }
 
+// errorDetail returns the begin of the body of a response, as far as it can be read.
+func errorDetail(resp *http.Response) string {
+	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	return string(bytes.TrimSpace(detail))
+}
+
 // Cancel implements Client.
 func (c *HTTPClient) Cancel(ctx context.Context, attempt string) error {
 	err := c.call(ctx, http.MethodDelete, "/v1/attempts/"+url.PathEscape(attempt), nil, nil)
--- a/internal/engine/malformed_response_test.go
+++ b/internal/engine/malformed_response_test.go
@@ -1,9 +1,13 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,3 +46,23 @@
 		assert.Check(t, err != nil, "load, %s", name)
 	}
 }
+
+// Guards against an attempt that waits for its deadline because an engine refuses it in a response
+// that ends with its connection, and does not read the request.
+func TestRefusalDoesNotWaitForUpload(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		address := rawserver.Start(t, func(c *net.TCPConn, _ *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 %d No\r\n\r\nfull", status)
+			c.CloseWrite()
+			<-release
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		sent := time.Now()
+		_, err := NewHTTPClient(address, NewTransport()).Start(ctx, StartRequest{Attempt: "0.1.1.1", Path: "/v1/completions", Body: make([]byte, 8<<20)})
+		assert.ErrorIs(t, err, ErrNotRun)
+		assert.Assert(t, time.Since(sent) < time.Second, "after %s", time.Since(sent))
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -201,9 +201,7 @@
 		return invalidResponse, info.Fault
 	}
 	if info.NotRun {
-		if _, err := io.Copy(io.Discard, io.LimitReader(a.exchange.Body, maxBufferedResponse)); err == nil {
-			a.exchange.Complete()
-		}
+		a.discardBody()
 		if info.WrongTarget {
 			h.Health.MarkReplaced(a.d.target)
 		}
@@ -225,6 +223,17 @@
 	return h.readFirstEvent(c, a)
 }
 
+// discardBody reads a response to its end, so that its connection can be used again. One that ends
+// with its connection is not awaited.
+func (a *attempt) discardBody() {
+	if a.exchange.EndsWithConnection() {
+		return
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.exchange.Body, maxBufferedResponse)); err == nil {
+		a.exchange.Complete()
+	}
+}
+
 // errNoEventStream is returned for another response to a request for a stream.
 var errNoEventStream = errors.New("success response to a request for a stream is no event stream")
 
--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -80,3 +80,27 @@
 		})
 	}
 }
+
+// Guards against a request that is not sent to another target before its deadline, because the first
+// one says "not run" in a response that ends with its connection, and does not read the request.
+func TestNotRunDoesNotWaitForUpload(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	defer close(release)
+	full := newEarlyTarget(t, "Not-Run: 1\r\n\r\nfull", func(c *net.TCPConn) {
+		c.CloseWrite()
+		<-release
+	})
+	for _, path := range []string{"/safe/x", "/once/x"} {
+		sound := newTestTarget(t, func(c *connection) { c.respond(200, "", "whole") })
+		v := newTestVM(t, 2, full, sound)
+		v.reveal()
+		for range 4 {
+			sent := time.Now()
+			status, body, err := v.exchange(t.Context(), http.MethodPost, path, "a", longUpload)
+			assert.NilError(t, err)
+			assert.Check(t, status == http.StatusOK && body == "whole", "%s: status %d, %q", path, status, body)
+			assert.Check(t, time.Since(sent) < time.Second, "%s: after %s", path, time.Since(sent))
+		}
+	}
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -61,5 +61,11 @@
 	return err
 }
 
+// EndsWithConnection reports whether a response has neither a length nor chunks. Reads of its body wait
+// at the end until the request is written.
+func EndsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, c.readError(err)
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, endsWithConnection: endsWithConnection(resp)}
+	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, endsWithConnection: httpclient.EndsWithConnection(resp)}
 	return resp, nil
 }
 
@@ -118,12 +119,6 @@
 	return fmt.Errorf("%w: %w", failure, err)
 }
 
-// endsWithConnection reports whether a response has neither a length nor chunks: only the end of its
-// connection ends it.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // responseBody is the body of a response on a connection.
 type responseBody struct {
 	io.ReadCloser
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
@@ -274,7 +275,7 @@
 
 // EndsWithConnection reports whether the response has neither a length nor chunks: only the end
 // of its connection ends it.
-func (e *Exchange) EndsWithConnection() bool { return endsWithConnection(e.Response) }
+func (e *Exchange) EndsWithConnection() bool { return httpclient.EndsWithConnection(e.Response) }
 
 // Close ends the exchange. If it is not complete, the connection is closed, which makes the
 // target cancel the request.
