--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -343,6 +343,7 @@
 // recordAttempt records the outcome of an attempt that has ended.
 func (h *Handler) recordAttempt(c *call, a *attempt, o outcome, err error) {
 	c.lastOutcome, c.lastErr = o, err
+	h.Metrics.CountBrokenResponse(err)
 	switch o {
 	case notSent:
 		c.attemptsSent--
--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -46,6 +46,8 @@
 					status, body, err := v.exchange(t.Context(), http.MethodPost, path, "a", longUpload)
 					assert.Check(t, err != nil || status >= http.StatusInternalServerError, "status %d, %q", status, body)
 				}
+				counter := v.Metrics.set.GetOrCreateCounter(`oriole_broken_responses_total{reason="request_not_received"}`)
+				assert.Check(t, counter.Get() > 0 || name != "sending side first") // a reset is told to a read or a write
 			})
 		}
 	}
--- a/internal/forward/invalid_response_test.go
+++ b/internal/forward/invalid_response_test.go
@@ -52,6 +52,9 @@
 				assert.Assert(t, v.Health.Status(target.ID, now).FailureRate > 0, target.ID)
 			}
 			assert.Equal(t, len(v.Health.suspectZones(v.targets, now)), 0)
+			counter := v.Metrics.set.GetOrCreateCounter(`oriole_broken_responses_total{reason="malformed_head"}`)
+			malformed := name == "malformed head" || name == "folded line"
+			assert.Equal(t, counter.Get() > 0, malformed)
 		})
 	}
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/oriolefront/oriolefront/internal/httpclient"
+	"github.com/oriolefront/oriolefront/internal/httphead"
 	"github.com/oriolefront/oriolefront/internal/overload"
 )
 
@@ -38,6 +41,20 @@
 	m.set.GetOrCreateCounter("oriole_foreign_responses_total").Inc()
 }
 
+// CountBrokenResponse counts an attempt whose response was broken, if its error tells so.
+func (m *Metrics) CountBrokenResponse(err error) {
+	reason := ""
+	switch {
+	case errors.Is(err, httphead.ErrMalformed):
+		reason = "malformed_head"
+	case errors.Is(err, httpclient.ErrRequestNotReceived):
+		reason = "request_not_received"
+	default:
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`oriole_broken_responses_total{reason=%q}`, reason)).Inc()
+}
+
 // CountEventFault counts an event that cannot belong to the stream in which it was read.
 func (m *Metrics) CountEventFault() {
 	m.set.GetOrCreateCounter("oriole_event_faults_total").Inc()
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -11,9 +11,19 @@
 	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
-// errNotWritten is returned for a response that ends before its request was written.
+// ErrRequestNotReceived is wrapped by the error of a response that ends with its connection before the
+// server has received the whole request.
+var ErrRequestNotReceived = errors.New("the server has not received the whole request")
+
+// errNotWritten is the cause if the request was not written.
 var errNotWritten = errors.New("the request was not written")
 
+// IncompleteResponse returns the error of a response that ends with its connection before the server
+// has received the whole request, and the cause: io.ErrUnexpectedEOF and ErrRequestNotReceived.
+func IncompleteResponse(cause error) error {
+	return fmt.Errorf("%w: %w: %w", io.ErrUnexpectedEOF, ErrRequestNotReceived, cause)
+}
+
 // conn is a connection that carries one request at a time. It checks the heads of their responses,
 // and the end of a response that ends with the connection.
 type conn struct {
@@ -79,7 +89,7 @@
 		err = tcp.AwaitAcknowledged(c.Conn)
 	}
 	if err != nil {
-		return fmt.Errorf("%w: the server has not received the whole request: %w", io.ErrUnexpectedEOF, err)
+		return IncompleteResponse(err)
 	}
 	return io.EOF
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -150,7 +150,7 @@
 		err = tcp.AwaitAcknowledged(c.Conn)
 	}
 	if err != nil {
-		return fmt.Errorf("%w: the target has not received the whole request: %w", io.ErrUnexpectedEOF, err)
+		return httpclient.IncompleteResponse(err)
 	}
 	return io.EOF
 }
