--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,16 +11,10 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
-	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/oriolefront/oriolefront/internal/httpclient"
 	"github.com/oriolefront/oriolefront/internal/tcp"
 )
 
@@ -47,108 +41,6 @@
 	maxHeadBytes = 256 << 10
 )
 
-// Reuse is how the connection of a request may be shared with other requests.
-type Reuse uint8
-
-// Values of Reuse.
-const (
-	// ReuseIdle takes an idle connection if there is one, and keeps the connection afterwards.
-	ReuseIdle Reuse = iota
-	// DialThenKeep opens a connection, which is kept for other requests afterwards.
-	DialThenKeep
-	// DialThenClose opens a connection that carries nothing else. It is the only choice for a
-	// request without an id.
-	DialThenClose
-)
-
-// Request is a request to a target.
-type Request struct {
-	// ID is the id that the target repeats in its response; empty if it repeats none.
-	ID     string
-	Reuse  Reuse
-	Method string
-	// URI is the path and query as sent by the caller.
-	URI    string
-	Host   string
-	Header http.Header
-	Body   []byte
-	// BeforeSend is called before the first byte is written; after an error nothing is sent.
-	// It may be nil.
-	BeforeSend func() error
-	// ResponseID returns the id of the request that a response header belongs to; empty if the
-	// header has none.
-	ResponseID func(http.Header) string
-	// OnForeign is called for each response on the connection that does not belong to this
-	// request. It may be nil.
-	OnForeign func(ForeignResponse)
-}
-
-// ForeignResponse is a response that arrived where that to another request was expected.
-type ForeignResponse struct {
-	Status int
-	// ID is the id of the request that the response belongs to, if it has one.
-	ID string
-	// Position is the number of requests that the connection has carried.
-	Position int
-}
-
-func (r Request) reportForeign(f ForeignResponse) {
-	if r.OnForeign != nil {
-		r.OnForeign(f)
-	}
-}
-
-func (r Request) reuse() Reuse {
-	if r.ID == "" {
-		return DialThenClose
-	}
-	return r.Reuse
-}
-
-func (r Request) beforeSend() error {
-	if r.BeforeSend == nil {
-		return nil
-	}
-	return r.BeforeSend()
-}
-
-// Error is a failure to get a response.
-type Error struct {
-	Address string
-	// MaybeSent is true if a byte of the request may have reached the target.
-	MaybeSent bool
-	// Invalid is true if the target sent something that is no response to the request.
-	Invalid bool
-	Cause   error
-}
-
-// Error implements error.
-func (e *Error) Error() string {
-	state := "not sent"
-	if e.MaybeSent {
-		state = "sent, no response"
-	}
-	return fmt.Sprintf("request to %s: %s: %v", e.Address, state, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Cause }
-
-// IsConnectionError reports whether reading a response failed because of its connection, and not
-// because of what the target sent on it.
-func IsConnectionError(err error) bool {
-	var network net.Error
-	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
-}
-
-// Errors of exchanges.
-var (
-	errForeignResponse = errors.New("target sent only responses to other requests")
-	// errUnidentifiedResponse is not skipped: the target may send no other response.
-	errUnidentifiedResponse = errors.New("target sent a response without an id on a connection with earlier requests")
-	errUnexpectedData       = errors.New("connection carries unexpected bytes")
-)
-
 // Pool is a pool of connections to targets.
 type Pool struct {
 	dialer *net.Dialer
@@ -170,19 +62,6 @@
 	return &Pool{dialer: dialer, idle: map[string][]*conn{}, onDial: onDial}
 }
 
-// LimitIdle bounds the idle connections to all targets together. It must be called before the pool
-// is used.
-func (p *Pool) LimitIdle(n int) { p.limit = n }
-
-// Exchange is a response that is being read. Close must be called.
-type Exchange struct {
-	*http.Response
-	pool *Pool
-	conn *conn
-	stop func() bool
-	done bool
-}
-
 // Do sends a request and returns the response, of which only the header was read. The
 // connection is closed when ctx is done before the exchange is complete.
 func (p *Pool) Do(ctx context.Context, key, address string, r Request) (*Exchange, error) {
@@ -249,139 +128,3 @@
 	c.Close()
 	return true
 }
-
-// Complete ends the exchange after the complete response was read. The connection is returned
-// to the pool if nothing else has arrived on it.
-func (e *Exchange) Complete() {
-	if e.done {
-		return
-	}
-	e.done = true
-	if !e.stop() || !e.reusable() {
-		e.conn.Close()
-		return
-	}
-	e.pool.keepIdle(e.conn, e.Response.Header)
-}
-
-func (e *Exchange) reusable() bool {
-	select {
-	case <-e.conn.written:
-	default:
-		return false
-	}
-	return e.conn.writeErr == nil && !e.conn.spoiled && !e.Response.Close && e.conn.reader.Buffered() == 0 && !e.EndsWithConnection()
-}
-
-// EndsWithConnection reports whether the response has neither a length nor chunks: only the end
-// of its connection ends it.
-func (e *Exchange) EndsWithConnection() bool { return httpclient.EndsWithConnection(e.Response) }
-
-// Close ends the exchange. If it is not complete, the connection is closed, which makes the
-// target cancel the request.
-func (e *Exchange) Close() {
-	if e.done {
-		return
-	}
-	e.done = true
-	e.stop()
-	e.conn.Close()
-}
-
-func (p *Pool) keepIdle(c *conn, h http.Header) {
-	keep := idleTimeout
-	if announced, ok := keepAliveTimeout(h); ok {
-		keep = min(keep, announced-idleMargin)
-	}
-	if keep <= 0 {
-		c.Close()
-		return
-	}
-	c.idleUntil = time.Now().Add(keep)
-	p.addIdle(c)
-}
-
-func (p *Pool) addIdle(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.key]) >= maxIdle || p.limit > 0 && p.kept >= p.limit {
-		c.Close()
-		return
-	}
-	p.kept++
-	p.idle[c.key] = append(p.idle[c.key], c)
-}
-
-// takeIdle returns the most recently used idle connection that is still healthy, or nil. It
-// closes those to an earlier address of the target, and those whose latest request had the same
-// id: a second copy of its response could not be told from the response to this one.
-func (p *Pool) takeIdle(key, address, id string) *conn {
-	for {
-		p.mu.Lock()
-		list := p.idle[key]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[key] = list[:len(list)-1]
-		p.kept--
-		p.mu.Unlock()
-		if c.address == address && c.lastID != id && time.Now().Before(c.idleUntil) && c.checkIdle() == nil {
-			return c
-		}
-		c.Close()
-	}
-}
-
-// CloseIdle closes the idle connections to a target.
-func (p *Pool) CloseIdle(key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[key] {
-		c.Close()
-	}
-	p.kept -= len(p.idle[key])
-	delete(p.idle, key)
-}
-
-// Sweep closes idle connections that have expired or whose target is not in use any more.
-func (p *Pool) Sweep(inUse func(key string) bool) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.idleUntil) && inUse(key) {
-				kept = append(kept, c)
-			} else {
-				c.Close()
-				p.kept--
-			}
-		}
-		p.idle[key] = kept
-		if len(kept) == 0 {
-			delete(p.idle, key)
-		}
-	}
-}
-
-// Close closes all idle connections.
-func (p *Pool) Close() {
-	p.Sweep(func(string) bool { return false })
-	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
-}
-
-// keepAliveTimeout returns the timeout that a Keep-Alive header announces.
-func keepAliveTimeout(h http.Header) (time.Duration, bool) {
-	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		if seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
-			n, err := strconv.Atoi(seconds)
-			return time.Duration(n) * time.Second, err == nil
-		}
-	}
-	return 0, false
-}
