httpclient: TLS

The transport makes TLS connections itself now and checks what comes out of them, so that heads and ends are checked there, too.

--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,8 +12,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper. A response that it returns is a final one with a sound head. It
-// doesn't check responses over TLS any further than http.Transport.
+// Transport is an http.RoundTripper. A response that it returns is a final one with a sound head, and
+// its body ends with io.EOF only if that is known to be its end.
 type Transport struct{ http *http.Transport }
 
 // New returns a Transport that uses t, which must have a DialContext and must not be used otherwise.
@@ -25,9 +26,35 @@
 		}
 		return newConn(c), nil
 	}
+	config := t.TLSClientConfig
+	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return handshake(ctx, c, config, address)
+	}
 	return &Transport{http: t}
 }
 
+// handshake returns a TLS connection to the server at address, a host and port. The configuration may
+// be nil.
+func handshake(ctx context.Context, c net.Conn, config *tls.Config, address string) (net.Conn, error) {
+	config = config.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	if host, _, err := net.SplitHostPort(address); err == nil && config.ServerName == "" {
+		config.ServerName = host
+	}
+	secure := tls.Client(c, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return newConn(secure), nil
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[conn] // the latest one: http.Transport may send a request once more
